--- a/tests/atMostOnce.test.ts
+++ b/tests/atMostOnce.test.ts
@@ -19,7 +19,7 @@
   return servers.reduce((sum, { stats }) => sum + (stats.runs[id] ?? 0), 0);
 }
 
-function postCertificate(
+function sendCertificate(
   id: string,
   entry = first,
   idempotencyKey?: string,
@@ -45,10 +45,10 @@
 
 t.test('does not repeat a call whose server died after running it', async (t) => {
   for (const { setFaults } of servers) setFaults({ cutAfterRun: 1 });
-  const answer = await postCertificate('died-after', first, 'died-after');
+  const answer = await sendCertificate('died-after', first, 'died-after');
   t.equal(answer.status, 502);
   t.equal(answer.outcome, 'unknown');
-  const repeat = await postCertificate('died-after', second, 'died-after');
+  const repeat = await sendCertificate('died-after', second, 'died-after');
   t.equal(repeat.status, 409);
   t.equal(repeat.outcome, 'unknown');
   t.equal(countRuns('died-after'), 1);
@@ -56,7 +56,7 @@
 
 t.test('does not repeat a call that was cut before it ran, since nobody can know', async (t) => {
   for (const { setFaults } of servers) setFaults({ cutBeforeRun: 1 });
-  const answer = await postCertificate('died-before');
+  const answer = await sendCertificate('died-before');
   t.equal(answer.outcome, 'unknown');
   t.equal(countRuns('died-before'), 0);
 });
@@ -64,7 +64,7 @@
 t.test('goes elsewhere when a server refuses before running', async (t) => {
   servers[0]?.setFaults({ refuse: 1 });
   servers[1]?.setFaults({ refuse: 1 });
-  const answer = await postCertificate('refused');
+  const answer = await sendCertificate('refused');
   t.equal(answer.status, 200, answer.text);
   t.equal(countRuns('refused'), 1);
 });
@@ -86,10 +86,10 @@
   fleet.platform.setHost({ ...base, id: 'plain-closed', port, leaving: false });
   await waitUntil(
     'only the closed server is listed',
-    async () => (await postCertificate('unreachable')).outcome === 'not-run',
+    async () => (await sendCertificate('unreachable')).outcome === 'not-run',
   );
   const before = countRuns('unreachable');
-  const answer = await postCertificate('unreachable');
+  const answer = await sendCertificate('unreachable');
   t.equal(answer.status, 503);
   t.equal(answer.outcome, 'not-run');
   t.equal(countRuns('unreachable'), before);
@@ -111,11 +111,11 @@
   'runs once though the entry host dies in the middle and the caller repeats elsewhere',
   async (t) => {
     for (const { setFaults } of servers) setFaults({ slowMs: 300 });
-    const lost = postCertificate('host-dies', third, 'host-dies');
+    const lost = sendCertificate('host-dies', third, 'host-dies');
     await waitUntil('the call runs', () => countRuns('host-dies') === 1);
     third?.process.kill('SIGKILL');
     t.equal((await lost).status, 0);
-    const repeat = await postCertificate('host-dies', first, 'host-dies');
+    const repeat = await sendCertificate('host-dies', first, 'host-dies');
     t.equal(repeat.status, 409);
     t.equal(repeat.outcome, 'unknown');
     t.equal(countRuns('host-dies'), 1);
@@ -124,7 +124,7 @@
 
 t.test('runs once though the answer to the claim is lost', async (t) => {
   fleet.keyValue.setFaults({ loseWriteAnswers: 1, loseWritesOf: 'claims/' });
-  const answer = await postCertificate('claim-lost', first, 'claim-lost');
+  const answer = await sendCertificate('claim-lost', first, 'claim-lost');
   t.equal(answer.status, 200, answer.text);
   t.equal(countRuns('claim-lost'), 1);
 });
@@ -133,24 +133,24 @@
   'refuses keyed calls as not run without the service, and runs unkeyed ones once',
   async (t) => {
     fleet.keyValue.setFaults({ outage: true });
-    const keyed = await postCertificate('no-service', first, 'no-service');
+    const keyed = await sendCertificate('no-service', first, 'no-service');
     t.equal(keyed.status, 503);
     t.equal(keyed.outcome, 'not-run');
     t.equal(countRuns('no-service'), 0);
-    t.equal((await postCertificate('no-service-unkeyed')).status, 200);
+    t.equal((await sendCertificate('no-service-unkeyed')).status, 200);
     t.equal(countRuns('no-service-unkeyed'), 1);
     fleet.keyValue.setFaults({ outage: false });
     await waitUntil(
       'the repeat runs',
-      async () => (await postCertificate('no-service', second, 'no-service')).status === 200,
+      async () => (await sendCertificate('no-service', second, 'no-service')).status === 200,
     );
     t.equal(countRuns('no-service'), 1);
   },
 );
 
 t.test('refuses a key that belongs to another request', async (t) => {
-  t.equal((await postCertificate('key-one', first, 'same-key')).status, 200);
-  const other = await postCertificate('key-two', second, 'same-key');
+  t.equal((await sendCertificate('key-one', first, 'same-key')).status, 200);
+  const other = await sendCertificate('key-two', second, 'same-key');
   t.equal(other.status, 422);
   t.equal(countRuns('key-two'), 0);
 });
@@ -176,7 +176,7 @@
         const isKeyed = index % 2 === 0;
         const tries = [first, second].slice(0, isKeyed ? 2 : 1);
         const got = await Promise.all(
-          tries.map((entry) => postCertificate(id, entry, isKeyed ? id : undefined)),
+          tries.map((entry) => sendCertificate(id, entry, isKeyed ? id : undefined)),
         );
         answers.set(id, got);
       }),
--- a/tests/keys.test.ts
+++ b/tests/keys.test.ts
@@ -10,11 +10,11 @@
 await fleet.waitUntilResident('oak', 'pine', 'depot');
 const [first] = fleet.entries;
 
-function probe(entry: TestEntry, key = ''): Promise<number> {
+function askModels(entry: TestEntry, key = ''): Promise<number> {
   return sendCall(`${entry.origin}/v1/models`, { key }).then(({ status }) => status);
 }
 
-async function handToEntry(entry: TestEntry | undefined, key: string): Promise<void> {
+async function giveToEntry(entry: TestEntry | undefined, key: string): Promise<void> {
   const body = { signed: [await fleet.signWithdrawal(key)] };
   const answer = await sendCall(`${entry?.operatorOrigin ?? ''}/withdrawals`, { body });
   if (answer.status !== 200) throw new Error(answer.text);
@@ -22,7 +22,7 @@
 
 async function waitUntilWithdrawn(key: string): Promise<void> {
   await waitUntil('the key is withdrawn on every host', async () => {
-    const statuses = await Promise.all(fleet.entries.map((entry) => probe(entry, key)));
+    const statuses = await Promise.all(fleet.entries.map((entry) => askModels(entry, key)));
     return statuses.every((status) => status === 401);
   });
 }
@@ -60,7 +60,7 @@
         getStats().recorded.some((record) => record.includes('withdraw me')),
       ),
     );
-    await handToEntry(fleet.entries[2], key);
+    await giveToEntry(fleet.entries[2], key);
     await waitUntilWithdrawn(key);
     const stream = readStreamText(await running);
     t.notOk(stream.isWhole);
@@ -71,9 +71,9 @@
 t.test('withdraws a key while the service is away', async (t) => {
   const key = fleet.keys.two ?? '';
   fleet.keyValue.setFaults({ outage: true });
-  await handToEntry(first, key);
+  await giveToEntry(first, key);
   await waitUntilWithdrawn(key);
-  t.equal(await probe(fleet.entries[1] as TestEntry, fleet.keys.dryline), 200, 'service goes on');
+  t.equal(await askModels(fleet.getEntry(1), fleet.keys.dryline), 200, 'service goes on');
 });
 
 t.test(
@@ -82,11 +82,11 @@
     const late = await fleet.startEntry('entry-late');
     await waitUntil(
       'the late host serves',
-      async () => (await probe(late, fleet.keys.dryline)) === 200,
+      async () => (await askModels(late, fleet.keys.dryline)) === 200,
     );
     await waitUntil(
       'the late host knows the withdrawals',
-      async () => (await probe(late, fleet.keys.two)) === 401,
+      async () => (await askModels(late, fleet.keys.two)) === 401,
     );
     await waitUntil('the late host answers a completion on loans', async () => {
       const body = { model: 'pine', prompt: 'late', max_tokens: 2 };
@@ -109,7 +109,7 @@
       const statuses = await Promise.all(fleet.entries.map(readStatus));
       return statuses.every(({ bundleVersion }) => bundleVersion === 2);
     });
-    for (const entry of fleet.entries) t.equal(await probe(entry, fleet.keys.two), 401);
+    for (const entry of fleet.entries) t.equal(await askModels(entry, fleet.keys.two), 401);
   },
 );
 
@@ -138,7 +138,7 @@
   for (const entry of fleet.entries) if (entry !== first) entry.process.kill('SIGCONT');
   await waitUntil(
     'it serves again with its peers',
-    async () => (await probe(first as TestEntry, fleet.keys.dryline)) === 200,
+    async () => (await askModels(fleet.getEntry(0), fleet.keys.dryline)) === 200,
   );
   t.ok(second !== undefined && third !== undefined);
   fleet.keyValue.setFaults({ outage: false });
--- a/tests/leaving.test.ts
+++ b/tests/leaving.test.ts
@@ -11,7 +11,7 @@
 const key = fleet.keys.dryline;
 const servers = [...fleet.plainServers.values()];
 
-function look(): Promise<{ status: number }> {
+function sendLookup(): Promise<{ status: number }> {
   return sendCall(`${first?.origin ?? ''}/certificates/7`, { key });
 }
 
@@ -22,11 +22,11 @@
 t.test('sends nothing more to a server that said itself that it leaves', async (t) => {
   servers[0]?.setFaults({ leaving: true });
   await waitUntil('the server has refused once', async () => {
-    t.equal((await look()).status, 200);
+    t.equal((await sendLookup()).status, 200);
     return (servers[0]?.stats.refused ?? 0) > 0;
   });
   const before = countSeen(0);
-  for (let count = 0; count < 40; count += 1) t.equal((await look()).status, 200);
+  for (let count = 0; count < 40; count += 1) t.equal((await sendLookup()).status, 200);
   t.equal(countSeen(0), before);
   servers[0]?.setFaults({ leaving: false });
 });
@@ -45,11 +45,11 @@
   fleet.platform.setHost({ ...host, leaving: true });
   await waitUntil('calls go elsewhere', async () => {
     const before = countSeen(1);
-    for (let count = 0; count < 20; count += 1) await look();
+    for (let count = 0; count < 20; count += 1) await sendLookup();
     return countSeen(1) === before;
   });
   const before = countSeen(1);
-  for (let count = 0; count < 40; count += 1) t.equal((await look()).status, 200);
+  for (let count = 0; count < 40; count += 1) t.equal((await sendLookup()).status, 200);
   t.equal(countSeen(1), before);
 });
 
--- a/tests/placement.test.ts
+++ b/tests/placement.test.ts
@@ -2,7 +2,8 @@
 import t from 'tap';
 import { listCandidates } from '#dist/decisions/routing/listCandidates/index.js';
 import { ReportedState } from '#dist/ports/engine.js';
-import { memoryBytes, replaySteps, step } from './support/placementWorld.js';
+import { replaySteps, step } from './support/placementWorld.js';
+import { memoryBytes } from './support/rollBundles.js';
 
 const fits = ({ usedBytes }: { usedBytes: number[] }): boolean =>
   usedBytes.every((bytes) => bytes <= memoryBytes);
--- a/tests/rate.test.ts
+++ b/tests/rate.test.ts
@@ -31,7 +31,7 @@
 }
 
 /** Sends calls as fast as they are answered until the time is over, and returns the admitted ones. */
-async function flood(entries: readonly TestEntry[], durationMs: number): Promise<Admitted[]> {
+async function sendFlood(entries: readonly TestEntry[], durationMs: number): Promise<Admitted[]> {
   const admitted: Admitted[] = [];
   const endAtMs = performance.now() + durationMs;
   const run = async (entry: TestEntry): Promise<void> => {
@@ -65,7 +65,7 @@
 t.test('keeps burst and rate over eight hosts when all traffic comes to one', async (t) => {
   const [first] = fleet.entries;
   const startedAtMs = performance.now();
-  const admitted = await flood(first === undefined ? [] : [first], 3000);
+  const admitted = await sendFlood(first === undefined ? [] : [first], 3000);
   const seconds = (performance.now() - startedAtMs) / 1000;
   t.ok(findExcess(admitted, ANSWER_DELAY_MS) <= 0);
   // One host alone holds an eighth: anything above a quarter of the rate came from its peers.
@@ -76,7 +76,7 @@
 });
 
 t.test('keeps them when traffic comes to all hosts at once', async (t) => {
-  const admitted = await flood(fleet.entries, 3000);
+  const admitted = await sendFlood(fleet.entries, 3000);
   t.ok(findExcess(admitted, ANSWER_DELAY_MS) <= 0);
   t.ok(admitted.length > 0);
 });
@@ -104,9 +104,9 @@
       },
       60_000,
     );
-    const flooding = flood([second, ...rest], 2500);
+    const flooding = sendFlood([second, ...rest], 2500);
     first.process.kill('SIGCONT');
-    const [admitted, resumed] = await Promise.all([flooding, flood([first], 2500)]);
+    const [admitted, resumed] = await Promise.all([flooding, sendFlood([first], 2500)]);
     t.ok(findExcess([...admitted, ...resumed], ANSWER_DELAY_MS) <= 0);
     t.ok(taken !== undefined);
   },
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -55,6 +55,8 @@
   bundle: Bundle;
   /** Key of an organisation. */
   keys: Record<string, string>;
+  /** Entry host by its position; throws when there is none. */
+  getEntry: (index: number) => TestEntry;
   startEntry: (id: string, flags?: readonly string[]) => Promise<TestEntry>;
   startPlacement: (id: string) => RunningProcess;
   startEngine: (id: string, options?: Partial<EngineStandinOptions>) => Promise<Engine>;
@@ -133,6 +135,11 @@
     placements,
     bundle: buildBundle({ organisations, ...options.bundle }),
     keys,
+    getEntry: (index) => {
+      const entry = entries[index];
+      if (entry === undefined) throw new RangeError(`there is no entry host ${index}`);
+      return entry;
+    },
     startEntry: async (id, flags = options.entryFlags ?? []) => {
       const ports = ['--caller-port', '0', '--peer-port', '0', '--operator-port', '0'];
       const own = ['--address', '127.0.0.1', '--peer-secret', PEER_SECRET, '--drain-ms', '100'];
--- a/tests/support/placementWorld.ts
+++ b/tests/support/placementWorld.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import { buildBundle, isRolled, memoryBytes, orderAgeMs, SETTLING_ROUNDS } from './rollBundles.js';
 import type { Bundle } from '#dist/decisions/bundle/types.js';
 import type { Ledger, LedgerItem } from '#dist/decisions/ledger/types.js';
 import { chooseOrders } from '#dist/decisions/placement/chooseOrders/index.js';
@@ -13,65 +14,6 @@
 import type { ListedHost } from '#dist/ports/hostList.js';
 import { createOrderBook, type OrderBook } from '#dist/programs/placement/_lib/createOrderBook.js';
 
-export const memoryBytes = 78;
-const orderAgeMs = 1500;
-
-const buildBundle = (version: number): Bundle => ({
-  version,
-  services: [{ name: 's', engines: 3, memoryBytes, window: 8 }],
-  models: [
-    {
-      name: 'oak',
-      version: `v${version}`,
-      service: 's',
-      bytes: 30,
-      replicas: 2,
-      class: 'standard',
-    },
-    {
-      name: 'pine',
-      version: `v${Math.ceil(version / 2)}`,
-      service: 's',
-      bytes: 35,
-      replicas: 1,
-      class: 'standard',
-    },
-    ...(version % 3 === 0
-      ? []
-      : [
-          {
-            name: 'elm',
-            version: 'v1',
-            service: 's',
-            bytes: 20,
-            replicas: 1,
-            class: 'standard' as const,
-          },
-        ]),
-  ],
-  adapters: [{ name: 'depot', version: `v${version}`, model: 'oak', bytes: 5 }],
-  plainServices: [],
-  routes: [],
-  organisations: [],
-  limits: { loadsPerSecond: 10, loadsAtOnce: 4, adaptersInFlight: 24 },
-});
-
-const SETTLING_ROUNDS = 60;
-
-/** Tells whether the ledger holds the bundle's versions, all resident, with their replicas and nothing else. */
-function isRolled(bundle: Bundle, { engines }: Ledger): boolean {
-  const items = Object.values(engines).flatMap((engine) => engine.items);
-  const wanted = [...bundle.models, ...bundle.adapters].map(
-    ({ name, version }) => `${name}@${version}`,
-  );
-  const isCurrent = ({ name, version, state }: LedgerItem): boolean =>
-    state === 'resident' && wanted.includes(`${name}@${version}`);
-  const hasReplicas = bundle.models.every(
-    ({ name, replicas }) => items.filter((item) => item.name === name).length >= replicas,
-  );
-  return items.every(isCurrent) && hasReplicas;
-}
-
 /** An engine that takes orders whenever they come. */
 export interface FakeEngine {
   id: string;
