--- a/src/standin/plainService/index.ts
+++ b/src/standin/plainService/index.ts
@@ -29,6 +29,8 @@
 export interface PlainStats {
   /** Runs by the id that the caller's body or path names. */
   runs: Record<string, number>;
+  /** Runs by the request id in the head. */
+  runsByRequest: Record<string, number>;
   refused: number;
   /** Heads and bodies as they came in, the latest ones. */
   recorded: string[];
@@ -65,7 +67,7 @@
     truncate: 0,
     fail: 0,
   };
-  const stats: PlainStats = { runs: {}, refused: 0, recorded: [] };
+  const stats: PlainStats = { runs: {}, runsByRequest: {}, refused: 0, recorded: [] };
   const setFaults = (changes: Partial<PlainFaults>): void => void Object.assign(faults, changes);
 
   const takeFault = (
@@ -100,6 +102,8 @@
     const runId = findRunId(request);
     const runs = (stats.runs[runId] ?? 0) + 1;
     stats.runs[runId] = runs;
+    const attempt = String(headers['x-request-id']);
+    stats.runsByRequest[attempt] = (stats.runsByRequest[attempt] ?? 0) + 1;
     if (faults.slowMs > 0) await wait(faults.slowMs);
     if (takeFault('cutAfterRun')) cut();
     else if (takeFault('truncate')) {
