--- a/src/coordination/createRateLimiter/_lib.ts
+++ b/src/coordination/createRateLimiter/_lib.ts
@@ -68,7 +68,7 @@
   for (const { host, id, units } of loans) {
     const used = Math.min(units, left);
     left -= used;
-    if (used < units)
-      options.sendSettlement(host, { type: 'loanSettlement', id, organisation, units: used });
+    // A loan that was used in full is settled too, so that its lender need not keep it open.
+    options.sendSettlement(host, { type: 'loanSettlement', id, organisation, units: used });
   }
 }
--- a/src/coordination/createRateLimiter/index.ts
+++ b/src/coordination/createRateLimiter/index.ts
@@ -27,13 +27,23 @@
 
 const MIN_WAIT_MS = 2;
 const MAX_WAIT_MS = 100;
+/** Requests of one organisation that borrow at the same time. */
+const CONCURRENT_TRIES = 8;
+
+/** A request that waits for its turn or for tokens. */
+interface Waiter {
+  request: AdmissionRequest;
+  units: number;
+  isTrying: boolean;
+  /** Moment before which another try is of no use. */
+  retryAtMs: number;
+  resolve: (result: AdmissionResult) => void;
+}
 
 interface OrganisationState {
   bucket: Bucket;
-  /** Requests that wait for their turn or for tokens. */
-  waiting: number;
-  /** Settles when the request before has been decided. */
-  turn: Promise<void>;
+  /** In the order of arrival. */
+  waiters: Waiter[];
 }
 
 function toShape({ rate, burst }: OrganisationRate, slots: number): BucketShape {
@@ -122,46 +132,63 @@
     return Math.max(1, missingUnits);
   };
 
-  const admitInTurn = async (
-    state: OrganisationState,
-    { organisation, deadlineAtMs }: AdmissionRequest,
-    units: number,
-  ): Promise<AdmissionResult> => {
-    for (;;) {
-      const result = await tryToAdmit(state, organisation, units);
-      if (typeof result !== 'number') return { admitted: true, admission: result };
-      const retryAfterMs = computeRefillMs(result, state.bucket.current.shape);
-      if (clock.monotonicMs() + retryAfterMs >= deadlineAtMs)
-        return { admitted: false, reason: RateRefusal.rateExceeded, retryAfterMs };
-      await waitFor(Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, retryAfterMs)));
-    }
+  const finish = (state: OrganisationState, waiter: Waiter, result: AdmissionResult): void => {
+    state.waiters.splice(state.waiters.indexOf(waiter), 1);
+    waiter.resolve(result);
   };
 
-  const admit = async (request: AdmissionRequest): Promise<AdmissionResult> => {
-    const state = states.get(request.organisation);
-    if (state === undefined)
-      return { admitted: false, reason: RateRefusal.unknownOrganisation, retryAfterMs: 0 };
-    const units = toUnits(request.tokens);
-    const { shape } = state.bucket.current;
-    if (request.tokens > shape.burst)
-      return { admitted: false, reason: RateRefusal.exceedsBurst, retryAfterMs: 0 };
-    if (state.waiting >= maximumWaiting)
-      return {
-        admitted: false,
-        reason: RateRefusal.rateExceeded,
-        retryAfterMs: MILLISECONDS_PER_SECOND,
-      };
-    state.waiting += 1;
-    const decided = state.turn.then(() => admitInTurn(state, request, units));
-    state.turn = decided.then(
-      () => undefined,
-      () => undefined,
+  const tryWaiter = async (state: OrganisationState, waiter: Waiter): Promise<void> => {
+    const { organisation, deadlineAtMs } = waiter.request;
+    const result = await tryToAdmit(state, organisation, waiter.units);
+    waiter.isTrying = false;
+    if (typeof result !== 'number') {
+      finish(state, waiter, { admitted: true, admission: result });
+      startTries(state);
+      return;
+    }
+    const nowMs = clock.monotonicMs();
+    const retryAfterMs = computeRefillMs(result, state.bucket.current.shape);
+    if (nowMs >= deadlineAtMs) {
+      finish(state, waiter, { admitted: false, reason: RateRefusal.rateExceeded, retryAfterMs });
+      startTries(state);
+      return;
+    }
+    const pauseMs = Math.min(
+      MAX_WAIT_MS,
+      deadlineAtMs - nowMs,
+      Math.max(MIN_WAIT_MS, retryAfterMs),
     );
-    try {
-      return await decided;
-    } finally {
-      state.waiting -= 1;
+    waiter.retryAtMs = nowMs + pauseMs;
+    await waitFor(pauseMs);
+    startTries(state);
+  };
+
+  /** Starts tries in the order of arrival; a request that is short of tokens holds up those behind it. */
+  function startTries(state: OrganisationState): void {
+    const nowMs = clock.monotonicMs();
+    let tries = 0;
+    for (const waiter of [...state.waiters]) {
+      if (tries >= CONCURRENT_TRIES || (!waiter.isTrying && waiter.retryAtMs > nowMs)) return;
+      tries += 1;
+      if (waiter.isTrying) continue;
+      waiter.isTrying = true;
+      void tryWaiter(state, waiter);
     }
+  }
+
+  const admit = (request: AdmissionRequest): Promise<AdmissionResult> => {
+    const refuse = (reason: RateRefusal, retryAfterMs = 0): Promise<AdmissionResult> =>
+      Promise.resolve({ admitted: false, reason, retryAfterMs });
+    const state = states.get(request.organisation);
+    if (state === undefined) return refuse(RateRefusal.unknownOrganisation);
+    if (request.tokens > state.bucket.current.shape.burst) return refuse(RateRefusal.exceedsBurst);
+    if (state.waiters.length >= maximumWaiting)
+      return refuse(RateRefusal.rateExceeded, MILLISECONDS_PER_SECOND);
+    return new Promise((resolve) => {
+      const units = toUnits(request.tokens);
+      state.waiters.push({ request, units, isTrying: false, retryAtMs: -Infinity, resolve });
+      startTries(state);
+    });
   };
 
   return {
@@ -196,7 +223,7 @@
         const state = states.get(organisation.name);
         if (state === undefined) {
           const bucket = createBucket(shape, nowMs);
-          states.set(organisation.name, { bucket, waiting: 0, turn: Promise.resolve() });
+          states.set(organisation.name, { bucket, waiters: [] });
         } else state.bucket = setBucketShape(state.bucket, shape, nowMs);
       }
     },
--- a/src/decisions/rate/planLoans/index.ts
+++ b/src/decisions/rate/planLoans/index.ts
@@ -2,34 +2,49 @@
 
 /** Options of a plan of loans. */
 export interface PlanLoansOptions {
-  /** Most peers asked at once; 4 by default. */
+  /** Most peers asked at once; 8 by default. */
   maximumAsks?: number;
 }
 
+/** Finds the level to which the richest lenders come down when they give so much together. */
+function findCommonLevel(levels: readonly number[], units: number): number {
+  let sum = 0;
+  for (const [index, level] of levels.entries()) {
+    sum += level;
+    const common = (sum - units) / (index + 1);
+    const next = levels[index + 1] ?? 0;
+    if (common >= next) return common;
+  }
+  return 0;
+}
+
 /**
- * Plans whom to ask for missing units: the richest first, and each for what the last figures promise.
- * The last one asked is asked for all that is still missing, since figures lag.
+ * Plans whom to ask for missing units: the richest first, down to a common level, so that no bucket is
+ * left to overflow while others are empty. When the last figures promise too little, the richest is
+ * asked for the rest as well, since figures lag.
  */
 export function planLoans(
   missingUnits: number,
   lenders: readonly LenderLevel[],
   options: PlanLoansOptions = {},
 ): LoanAsk[] {
-  const { maximumAsks = 4 } = options;
-  const richest = [...lenders].sort((one, other) => other.units - one.units).slice(0, maximumAsks);
-  const asks: LoanAsk[] = [];
-  let missing = missingUnits;
-  for (const { host, units } of richest) {
-    if (missing <= 0) break;
-    const asked = Math.min(missing, Math.max(0, units));
-    if (asked > 0) asks.push({ host, units: asked });
-    missing -= asked;
-  }
-  return missing > 0 ? addToLastAsk(asks, missing) : asks;
+  const { maximumAsks = 8 } = options;
+  const richest = lenders
+    .filter(({ units }) => units > 0)
+    .sort((one, other) => other.units - one.units)
+    .slice(0, maximumAsks);
+  const common = findCommonLevel(
+    richest.map(({ units }) => units),
+    missingUnits,
+  );
+  const asks = richest
+    .map(({ host, units }) => ({ host, units: Math.floor(units - common) }))
+    .filter(({ units }) => units > 0);
+  const left = missingUnits - asks.reduce((sum, { units }) => sum + units, 0);
+  return left > 0 ? addToFirstAsk(asks, left) : asks;
 }
 
-function addToLastAsk(asks: LoanAsk[], missing: number): LoanAsk[] {
-  const last = asks.at(-1);
-  if (last === undefined) return asks;
-  return [...asks.slice(0, -1), { host: last.host, units: last.units + missing }];
+function addToFirstAsk(asks: LoanAsk[], missing: number): LoanAsk[] {
+  const [first, ...others] = asks;
+  return first === undefined ? [] : [{ host: first.host, units: first.units + missing }, ...others];
 }
--- a/src/programs/entry/_lib/createPeerBook.ts
+++ b/src/programs/entry/_lib/createPeerBook.ts
@@ -1,6 +1,6 @@
-import { computeCapacity } from '../../../decisions/rate/_lib/replayEvents.js';
 import { computeLendableBurst } from '../../../decisions/rate/convertTokens/index.js';
 import type { Organisation } from '../../../decisions/bundle/types.js';
+import { estimateLevel, type KnownLevel } from '../../../decisions/rate/estimateLevel/index.js';
 import type { LenderLevel } from '../../../decisions/rate/types.js';
 import type { Clock } from '../../../ports/clock.js';
 import type { Heartbeat } from '../../../ports/peers.js';
@@ -26,17 +26,7 @@
 interface Page {
   heartbeat: Heartbeat;
   atMs: number;
-  levels: Map<string, { level: number; atMs: number }>;
-}
-
-function estimateLevel(
-  { level, atMs }: { level: number; atMs: number },
-  { rate, burst }: Organisation,
-  slots: number,
-  nowMs: number,
-): number {
-  const capacity = computeCapacity({ rate, burst: computeLendableBurst(rate, burst), slots });
-  return Math.floor(Math.min(capacity, level + rate * slots * (nowMs - atMs)));
+  levels: Map<string, KnownLevel>;
 }
 
 /** Creates an empty book of peers. */
@@ -61,22 +51,23 @@
     record: (heartbeat) => {
       const atMs = clock.monotonicMs();
       const levels = new Map(
-        Object.entries(heartbeat.levels).map(([name, level]) => [name, { level, atMs }]),
+        Object.entries(heartbeat.levels).map(([name, units]) => [name, { units, atMs }]),
       );
       pages.set(heartbeat.host, { heartbeat, atMs, levels });
       loads = undefined;
     },
     recordLevel: (host, organisation, level) => {
-      pages.get(host)?.levels.set(organisation, { level, atMs: clock.monotonicMs() });
+      pages.get(host)?.levels.set(organisation, { units: level, atMs: clock.monotonicMs() });
     },
     listAlive: () => listAlivePages().map(({ heartbeat }) => heartbeat),
     listContacts: () => Object.fromEntries([...pages].map(([host, { atMs }]) => [host, atMs])),
-    listLenders: (organisation) => {
+    listLenders: ({ name, rate, burst }) => {
       const nowMs = clock.monotonicMs();
       return listAlivePages().flatMap(({ heartbeat, levels }): LenderLevel[] => {
-        const known = levels.get(organisation.name);
+        const known = levels.get(name);
         if (known === undefined || heartbeat.slots === 0) return [];
-        const units = estimateLevel(known, organisation, heartbeat.slots, nowMs);
+        const shape = { rate, burst: computeLendableBurst(rate, burst), slots: heartbeat.slots };
+        const units = estimateLevel(known, shape, nowMs);
         return [{ host: heartbeat.host, units }];
       });
     },
