Mend the cost of the path and let refunds level out

Cause: a profile of the entry host under lookups showed no single hot spot but many small ones: two abort controllers and AbortSignal.any for each request, streams read by async iteration for bodies that are not there or small, and waiting lists entered by requests that need not wait. Ruled out: hashing of keys (1 % of the profile) and the bucket (below 1 %). Conclusion: logs and undici's request objects are the largest of what is left.

--- /dev/null
+++ b/bench/controlCost.ts
@@ -0,0 +1,106 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { buildOrganisations, startFleet } from '../tests/support/fleet.js';
+import { readUsage } from './usage.js';
+
+/** Control cost of one fleet without traffic. */
+export interface ControlRow {
+  hosts: number;
+  organisations: number;
+  models: number;
+  /** Part of a core that each entry host takes, in percent. */
+  cpuPercent: number;
+  residentMegabytes: number;
+  /** Kilobytes a second that each host sends to peers. */
+  peerKilobytes: number;
+  readsPerSecond: number;
+  writesPerSecond: number;
+  standingWatches: number;
+}
+
+const SETTLE_MS = 6000;
+const MEASURE_MS = 8000;
+
+async function readPeerBytes(origin: string): Promise<number> {
+  const reply = await fetch(`${origin}/status`);
+  return ((await reply.json()) as { peerBytesSent: number }).peerBytesSent;
+}
+
+async function measureFleet(
+  hosts: number,
+  organisations: number,
+  models: number,
+): Promise<ControlRow> {
+  const names = Array.from({ length: organisations }, (_unused, index) => ({
+    name: `o${index}`,
+    rate: 1000,
+    burst: 2000,
+  }));
+  const fleet = await startFleet({
+    entries: hosts,
+    engines: 3,
+    plainServers: 0,
+    organisations: buildOrganisations(names).organisations,
+    engineOptions: { memoryBytes: 10_000 },
+    bundle: {
+      services: [{ name: 'moisture', engines: 3, memoryBytes: 10_000, window: 16 }],
+      models: Array.from({ length: models }, (_unused, index) => ({
+        name: `m${index}`,
+        version: 'v1',
+        service: 'moisture',
+        bytes: 1,
+        replicas: 1,
+        class: 'standard' as const,
+      })),
+      adapters: [],
+      limits: { loadsPerSecond: 5000, loadsAtOnce: 5000, adaptersInFlight: 10 },
+    },
+    platformOptions: { loadsPerSecond: 5000, loadsAtOnce: 5000, modelLoadMs: 1 },
+    placementFlags: ['--round-ms', '250', '--report-poll-ms', '500'],
+  });
+  try {
+    await fleet.waitUntilResident(`m${models - 1}`);
+    await wait(SETTLE_MS);
+    const calls = { ...fleet.keyValue.calls };
+    const before = fleet.entries.map(({ process }) => readUsage(process.pid));
+    const bytesBefore = await Promise.all(
+      fleet.entries.map(({ operatorOrigin }) => readPeerBytes(operatorOrigin)),
+    );
+    await wait(MEASURE_MS);
+    const after = fleet.entries.map(({ process }) => readUsage(process.pid));
+    const bytesAfter = await Promise.all(
+      fleet.entries.map(({ operatorOrigin }) => readPeerBytes(operatorOrigin)),
+    );
+    const seconds = MEASURE_MS / 1000;
+    const mean = (values: readonly number[]): number =>
+      values.reduce((sum, value) => sum + value, 0) / values.length;
+    return {
+      hosts,
+      organisations,
+      models,
+      cpuPercent:
+        (100 *
+          mean(
+            after.map(({ cpuSeconds }, index) => cpuSeconds - (before[index]?.cpuSeconds ?? 0)),
+          )) /
+        seconds,
+      residentMegabytes: mean(after.map(({ residentMegabytes }) => residentMegabytes)),
+      peerKilobytes:
+        mean(bytesAfter.map((bytes, index) => bytes - (bytesBefore[index] ?? 0))) / seconds / 1000,
+      readsPerSecond: (fleet.keyValue.calls.read - calls.read) / seconds,
+      writesPerSecond: (fleet.keyValue.calls.write - calls.write) / seconds,
+      standingWatches: fleet.keyValue.calls.standingWatches,
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Measures the control cost against hosts, organisations and models. */
+export async function measureControlCost(): Promise<ControlRow[]> {
+  const rows: ControlRow[] = [];
+  for (const hosts of [2, 4, 8, 16, 32]) rows.push(await measureFleet(hosts, 5, 3));
+  rows.push(await measureFleet(8, 50, 3));
+  rows.push(await measureFleet(8, 200, 3));
+  rows.push(await measureFleet(8, 5, 300));
+  return rows;
+}
--- /dev/null
+++ b/bench/pathCost.ts
@@ -0,0 +1,205 @@
+import { Agent } from 'undici';
+import { computePercentiles } from '#dist/load/summariseRun/index.js';
+import type { Percentiles } from '#dist/load/types.js';
+import { startFleet, type Fleet } from '../tests/support/fleet.js';
+import { sendCall } from '../tests/support/callers.js';
+import { startProcess } from '../tests/support/processes.js';
+import { waitUntil } from '../tests/support/waitUntil.js';
+import { readUsage } from './usage.js';
+
+const CONNECTIONS = 32;
+const WARM_UP_MS = 2000;
+const MEASURE_MS = 5000;
+const STREAMS = 60;
+const TOKENS = 400;
+
+/** Throughput and latency of one way to the backend server. */
+export interface PathRow {
+  path: string;
+  requestsPerSecond: number;
+  latency: Percentiles;
+  /** Microseconds of processor time for each request. */
+  cpuMicroseconds: number;
+}
+
+/** What the path costs. */
+export interface PathCost {
+  rows: PathRow[];
+  /** Throughput of the entry host against the pass-through. */
+  throughputRatio: number;
+  /** Microseconds of the entry host's processor time for each token event of a stream. */
+  microsecondsPerToken: number;
+  /** Milliseconds that a loan adds at the 99th percentile. */
+  loanAddedP99Ms: number;
+}
+
+async function sendLoop(
+  agent: Agent,
+  origin: string,
+  key: string,
+  endAtMs: number,
+  taken: number[],
+): Promise<void> {
+  while (performance.now() < endAtMs) {
+    const startedAt = performance.now();
+    const { body, statusCode } = await agent.request({
+      origin,
+      method: 'GET',
+      path: '/lookup',
+      headers: { authorization: `Bearer ${key}` },
+    });
+    await body.dump();
+    if (statusCode === 200) taken.push(performance.now() - startedAt);
+  }
+}
+
+async function measurePath(
+  path: string,
+  origin: string,
+  key: string,
+  pid: number,
+): Promise<PathRow> {
+  const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
+  const run = async (milliseconds: number): Promise<number[]> => {
+    const taken: number[] = [];
+    const endAtMs = performance.now() + milliseconds;
+    await Promise.all(
+      Array.from({ length: CONNECTIONS }, () => sendLoop(agent, origin, key, endAtMs, taken)),
+    );
+    return taken;
+  };
+  await run(WARM_UP_MS);
+  const before = readUsage(pid);
+  const taken = await run(MEASURE_MS);
+  const after = readUsage(pid);
+  await agent.destroy();
+  return {
+    path,
+    requestsPerSecond: (taken.length * 1000) / MEASURE_MS,
+    latency: computePercentiles(taken),
+    cpuMicroseconds: ((after.cpuSeconds - before.cpuSeconds) * 1_000_000) / taken.length,
+  };
+}
+
+async function measureStreams(fleet: Fleet): Promise<number> {
+  const entry = fleet.getEntry(0);
+  const url = `${entry.origin}/v1/completions`;
+  const key = fleet.keys.dryline;
+  const before = readUsage(entry.process.pid);
+  const answers = await Promise.all(
+    Array.from({ length: STREAMS }, (_unused, index) =>
+      sendCall(url, {
+        key,
+        body: { model: 'oak', prompt: `stream ${index}`, max_tokens: TOKENS, stream: true },
+      }),
+    ),
+  );
+  const after = readUsage(entry.process.pid);
+  const whole = answers.filter(({ text }) => text.includes('[DONE]')).length;
+  return ((after.cpuSeconds - before.cpuSeconds) * 1_000_000) / (whole * TOKENS);
+}
+
+/** Measures lookups that have to borrow against lookups that need not, one after another. */
+async function measureLoans(): Promise<number> {
+  const route = {
+    service: 'certificates',
+    idempotent: true,
+    open: false,
+    class: 'interactive',
+  } as const;
+  const fleet = await startFleet({
+    entries: 8,
+    engines: 0,
+    placements: 0,
+    organisations: [
+      { name: 'roomy', rate: 1_000_000, burst: 4_000_000 },
+      { name: 'tight', rate: 8000, burst: 64_000 },
+    ],
+    bundle: {
+      routes: [
+        { method: 'GET', path: '/cheap', ...route, tokens: 1 },
+        { method: 'GET', path: '/dear', ...route, tokens: 100 },
+      ],
+    },
+  });
+  const measure = async (path: string, key: string | undefined, count: number): Promise<number> => {
+    const taken: number[] = [];
+    for (let index = 0; index < count; index += 1) {
+      const startedAt = performance.now();
+      const { status } = await sendCall(`${fleet.getEntry(0).origin}${path}`, { key });
+      if (status === 200) taken.push(performance.now() - startedAt);
+    }
+    return computePercentiles(taken).p99;
+  };
+  try {
+    await waitUntil('levels are full', async () => {
+      const replies = await Promise.all(
+        fleet.entries.map(({ operatorOrigin }) => fetch(`${operatorOrigin}/status`)),
+      );
+      return replies.every(({ ok }) => ok);
+    });
+    await new Promise((resolve) => setTimeout(resolve, 9000));
+    await measure('/cheap', fleet.keys.roomy, 200);
+    const own = await measure('/cheap', fleet.keys.roomy, 500);
+    // An eighth of the burst is soon spent; from then on each call borrows nearly all of its tokens.
+    await measure('/dear', fleet.keys.tight, 90);
+    const borrowed = await measure('/dear', fleet.keys.tight, 400);
+    return borrowed - own;
+  } finally {
+    await fleet.stop();
+  }
+}
+
+/** Measures the cost of the path against a bare pass-through, of streams and of loans. */
+export async function measurePathCost(): Promise<PathCost> {
+  const backend = startProcess('backend', '../dist-tools/bench/fastBackend.js', []);
+  const { port } = await backend.waitForLine(({ msg }) => msg === 'listening');
+  const backendOrigin = `http://127.0.0.1:${String(port)}`;
+  const bare = startProcess('pass-through', '../dist-tools/bench/passThrough.js', [backendOrigin]);
+  const bareLine = await bare.waitForLine(({ msg }) => msg === 'listening');
+  const route = { service: 'fast', idempotent: true, open: false, class: 'interactive' } as const;
+  const fleet = await startFleet({
+    entries: 1,
+    plainServers: 0,
+    engineOptions: { tokenMs: 2, batchSize: 64, memoryBytes: 100 },
+    organisations: [{ name: 'dryline', rate: 50_000_000, burst: 100_000_000 }],
+    bundle: {
+      plainServices: ['fast'],
+      routes: [{ method: 'GET', path: '/lookup', ...route, tokens: 1 }],
+    },
+  });
+  fleet.platform.setHost({
+    id: 'fast',
+    role: 'plain',
+    address: '127.0.0.1',
+    port: Number(port),
+    dataCentre: 'one',
+    service: 'fast',
+    leaving: false,
+  });
+  try {
+    const key = fleet.keys.dryline ?? '';
+    await fleet.waitUntilResident('oak');
+    const entry = fleet.getEntry(0);
+    await waitUntil(
+      'the fast service is listed',
+      async () => (await sendCall(`${entry.origin}/lookup`, { key })).status === 200,
+    );
+    const rows = [
+      await measurePath('pass-through', `http://127.0.0.1:${String(bareLine.port)}`, key, bare.pid),
+      await measurePath('entry host', entry.origin, key, entry.process.pid),
+    ];
+    const [first, second] = rows;
+    const microsecondsPerToken = await measureStreams(fleet);
+    return {
+      rows,
+      throughputRatio: (second?.requestsPerSecond ?? 0) / (first?.requestsPerSecond ?? 1),
+      microsecondsPerToken,
+      loanAddedP99Ms: await measureLoans(),
+    };
+  } finally {
+    await fleet.stop();
+    backend.kill('SIGKILL');
+    bare.kill('SIGKILL');
+  }
+}
--- a/src/adapters/backendServer/index.ts
+++ b/src/adapters/backendServer/index.ts
@@ -166,6 +166,9 @@
   const chunks: Buffer[] = [];
   let length = 0;
   try {
+    // The usual case: undici itself checks the body against its length.
+    if (Number(headers['content-length']) <= maximumBytes)
+      return Buffer.from(await answer.body.arrayBuffer());
     for await (const chunk of answer.body as AsyncIterable<Buffer>) {
       length += chunk.length;
       if (length > maximumBytes) throw new Error(`the answer is over ${maximumBytes} bytes`);
--- a/src/adapters/callerHttp/index.ts
+++ b/src/adapters/callerHttp/index.ts
@@ -40,10 +40,6 @@
   const queryStart = url.indexOf('?');
   const given = incoming.headers['x-request-id'];
   const isUsable = typeof given === 'string' && REQUEST_ID_PATTERN.test(given);
-  const left = new AbortController();
-  response.once('close', () => {
-    if (!response.writableFinished) left.abort();
-  });
   return {
     id: isUsable ? given : randomUUID(),
     method: incoming.method ?? 'GET',
@@ -51,7 +47,6 @@
     query: queryStart === -1 ? '' : url.slice(queryStart),
     incoming,
     response,
-    signal: left.signal,
     startedAtMs: clock.monotonicMs(),
   };
 }
--- a/src/adapters/callerHttp/readBody.ts
+++ b/src/adapters/callerHttp/readBody.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from 'node:http';
 import { createRequestError, Outcome } from '../../errors/index.js';
 
+const NO_BODY = Buffer.alloc(0);
+
 /** Reads a request's body; rejects with a RequestError when it is too large or breaks off. */
 export async function readBody(incoming: IncomingMessage, maximumBytes: number): Promise<Buffer> {
   const refuse = (): never => {
@@ -11,6 +13,10 @@
     });
   };
   if (Number(incoming.headers['content-length'] ?? 0) > maximumBytes) refuse();
+  const { headers } = incoming;
+  const hasBody =
+    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+  if (!hasBody) return NO_BODY;
   const chunks: Buffer[] = [];
   let length = 0;
   try {
--- a/src/adapters/callerHttp/types.ts
+++ b/src/adapters/callerHttp/types.ts
@@ -9,8 +9,6 @@
   query: string;
   incoming: IncomingMessage;
   response: ServerResponse;
-  /** Aborts when the caller has left before its answer was whole. */
-  signal: AbortSignal;
   /** On the monotonic clock. */
   startedAtMs: number;
 }
--- a/src/adapters/peer/createConnection.ts
+++ b/src/adapters/peer/createConnection.ts
@@ -19,6 +19,8 @@
 /** What a connection does with what arrives. */
 export interface CreateConnectionOptions {
   onMessage: (message: PeerMessage, connection: PeerConnection) => void;
+  /** Called with the bytes of each frame that is sent. */
+  onSent: (bytes: number) => void;
   log: Log;
   /** Who is at the other end, for the log. */
   peer: string;
@@ -29,7 +31,7 @@
   socket: TLSSocket,
   options: CreateConnectionOptions,
 ): PeerConnection {
-  const { onMessage, log, peer } = options;
+  const { onMessage, onSent, log, peer } = options;
   const readFrames = createFrameReader();
   const connection: PeerConnection = {
     send: (message) => {
@@ -39,7 +41,9 @@
         socket.destroy();
         return false;
       }
-      socket.write(encodeFrame(message));
+      const frame = encodeFrame(message);
+      socket.write(frame);
+      onSent(frame.length);
       return true;
     },
     ended: new Promise((resolve) => socket.once('close', () => resolve())),
--- a/src/adapters/peer/index.ts
+++ b/src/adapters/peer/index.ts
@@ -45,6 +45,8 @@
 /** Connections to the other entry hosts, and the server that takes theirs. */
 export interface PeerNetwork extends Peers {
   port: number;
+  /** Bytes of all frames sent so far. */
+  countBytesSent: () => number;
   /** Follows the host list: one task for each listed peer. */
   setListed: (hosts: readonly ListedHost[]) => void;
   close: () => Promise<void>;
@@ -61,6 +63,10 @@
   const { host, incarnation, address, secret, handlers, log } = options;
   const tasks = new Map<string, PeerTask>();
   const accepted = new Set<PeerConnection>();
+  let bytesSent = 0;
+  const onSent = (bytes: number): void => {
+    bytesSent += bytes;
+  };
   const replies = new Map<string, (reply: LoanReply | FactsReply) => void>();
 
   const handleMessage = (message: PeerMessage, connection: PeerConnection): void => {
@@ -91,7 +97,7 @@
 
   const server = createSecureServer(secret, (socket) => {
     const peer = socket.remoteAddress ?? 'unknown';
-    const connection = createConnection(socket, { onMessage: handleMessage, log, peer });
+    const connection = createConnection(socket, { onMessage: handleMessage, onSent, log, peer });
     accepted.add(connection);
     void connection.ended.then(() => accepted.delete(connection));
   });
@@ -112,6 +118,7 @@
         );
         const connection = createConnection(socket, {
           onMessage: handleMessage,
+          onSent,
           log,
           peer: listed.id,
         });
@@ -150,6 +157,7 @@
 
   return {
     port: (server.address() as AddressInfo).port,
+    countBytesSent: () => bytesSent,
     listConnected: () =>
       [...tasks].filter(([, { connection }]) => connection !== undefined).map(([id]) => id),
     send: (peer, message) => tasks.get(peer)?.connection?.send(message) ?? false,
--- a/src/coordination/createDispatcher/index.ts
+++ b/src/coordination/createDispatcher/index.ts
@@ -169,8 +169,17 @@
   }
 
   return {
-    dispatch: (request) =>
-      new Promise((resolve) => {
+    dispatch: (request) => {
+      // The usual case: nobody waits and a server has room.
+      const candidate =
+        waiting.size > 0 || request.signal?.aborted === true
+          ? undefined
+          : choose(listOpen(request), { prefix: request.prefix, random });
+      if (candidate !== undefined) {
+        record(request);
+        return Promise.resolve({ place: createPlace(candidate) });
+      }
+      return new Promise((resolve) => {
         if (waiting.size >= maximumWaiting) {
           resolve({ refusal: DispatchRefusal.queueFull });
           return;
@@ -199,7 +208,8 @@
           { once: true },
         );
         startWaiting();
-      }),
+      });
+    },
     getInFlight: () => Object.fromEntries(inFlight),
     countWaiting: () => waiting.size,
     hasOpen: (target, excluded) => listCandidates(target).some(({ id }) => !excluded.has(id)),
--- a/src/coordination/createRateLimiter/_lib.ts
+++ b/src/coordination/createRateLimiter/_lib.ts
@@ -57,18 +57,30 @@
   return { loans, missingUnits };
 }
 
-/** Tells each lender how much of its loan was used. */
+/** Units of a request by where they came from, and how many of them were used. */
+export interface UsedUnits {
+  own: number;
+  loans: readonly Loan[];
+  used: number;
+}
+
+/**
+ * Tells each lender how much of its loan was used and returns how much of the own units was. Every part
+ * is used alike, so that no bucket gets more back than others; own units pay for what is above the charge.
+ */
 export function settleLoans(
   options: RateLimiterOptions,
   organisation: string,
-  loans: readonly Loan[],
-  usedUnits: number,
-): void {
-  let left = usedUnits;
+  { own, loans, used }: UsedUnits,
+): number {
+  const borrowed = loans.reduce((sum, { units }) => sum + units, 0);
+  const part = Math.min(1, used / Math.max(1, own + borrowed));
+  let usedOfLoans = 0;
   for (const { host, id, units } of loans) {
-    const used = Math.min(units, left);
-    left -= used;
+    const usedUnits = Math.min(units, Math.ceil(units * part), used - usedOfLoans);
+    usedOfLoans += usedUnits;
     // A loan that was used in full is settled too, so that its lender need not keep it open.
-    options.sendSettlement(host, { type: 'loanSettlement', id, organisation, units: used });
+    options.sendSettlement(host, { type: 'loanSettlement', id, organisation, units: usedUnits });
   }
+  return used - usedOfLoans;
 }
--- a/src/coordination/createRateLimiter/index.ts
+++ b/src/coordination/createRateLimiter/index.ts
@@ -105,12 +105,9 @@
       settle: (tokens) => {
         if (isSettled) return;
         isSettled = true;
-        const borrowed = loans.reduce((sum, { units }) => sum + units, 0);
         const used = toUnits(tokens);
-        // Own units pay for what a request used above its charge.
-        const usedOfLoans = Math.min(borrowed, used);
-        if (own > 0) state.bucket = settleCharge(state.bucket, id, used - usedOfLoans);
-        settleLoans(options, organisation, loans, usedOfLoans);
+        const usedOfOwn = settleLoans(options, organisation, { own, loans, used });
+        if (own > 0) state.bucket = settleCharge(state.bucket, id, usedOfOwn);
       },
     };
   };
@@ -132,8 +129,20 @@
     return Math.max(1, missingUnits);
   };
 
+  /** Admits a request for which the own bucket suffices. */
+  const takeWholly = (
+    state: OrganisationState,
+    { organisation }: AdmissionRequest,
+    units: number,
+  ): Admission | undefined => {
+    dropLapsedSlots();
+    if (computeLevel(state.bucket, clock.monotonicMs()) < units) return undefined;
+    const id = createId();
+    return createAdmission(state, organisation, id, takeOwn(state, id, units), []);
+  };
+
   const finish = (state: OrganisationState, waiter: Waiter, result: AdmissionResult): void => {
-    state.waiters.splice(state.waiters.indexOf(waiter), 1);
+    state.waiters = state.waiters.filter((other) => other !== waiter);
     waiter.resolve(result);
   };
 
@@ -184,9 +193,17 @@
     if (request.tokens > state.bucket.current.shape.burst) return refuse(RateRefusal.exceedsBurst);
     if (state.waiters.length >= maximumWaiting)
       return refuse(RateRefusal.rateExceeded, MILLISECONDS_PER_SECOND);
+    const units = toUnits(request.tokens);
+    const admission = state.waiters.length === 0 ? takeWholly(state, request, units) : undefined;
+    if (admission !== undefined) return Promise.resolve({ admitted: true, admission });
     return new Promise((resolve) => {
-      const units = toUnits(request.tokens);
-      state.waiters.push({ request, units, isTrying: false, retryAtMs: -Infinity, resolve });
+      state.waiters.push({
+        request,
+        units,
+        isTrying: false,
+        retryAtMs: -Infinity,
+        resolve,
+      });
       startTries(state);
     });
   };
@@ -217,13 +234,25 @@
     setOrganisations: (organisations) => {
       const nowMs = clock.monotonicMs();
       const names = new Set(organisations.map(({ name }) => name));
-      for (const name of states.keys()) if (!names.has(name)) states.delete(name);
+      for (const [name, state] of states) {
+        if (names.has(name)) continue;
+        states.delete(name);
+        const gone = {
+          admitted: false,
+          reason: RateRefusal.unknownOrganisation,
+          retryAfterMs: 0,
+        } as const;
+        for (const waiter of [...state.waiters]) finish(state, waiter, gone);
+      }
       for (const organisation of organisations) {
         const shape = toShape(organisation, slots);
         const state = states.get(organisation.name);
         if (state === undefined) {
           const bucket = createBucket(shape, nowMs);
-          states.set(organisation.name, { bucket, waiters: [] });
+          states.set(organisation.name, {
+            bucket,
+            waiters: [],
+          });
         } else state.bucket = setBucketShape(state.bucket, shape, nowMs);
       }
     },
--- a/src/programs/entry/_lib/openCall.ts
+++ b/src/programs/entry/_lib/openCall.ts
@@ -5,8 +5,8 @@
 
 /** A request between its admission and its end. */
 export interface OpenCall {
-  /** Aborts when the call has to end early. */
-  signal: AbortSignal;
+  /** Aborts when the call has to end early; left out for calls that run to their end. */
+  signal?: AbortSignal;
   /** Turns what an early end threw into its failure. */
   toFailure: (error: unknown) => unknown;
   close: () => void;
@@ -26,23 +26,31 @@
   options: OpenCallOptions = {},
 ): OpenCall {
   const { endsWithCaller = false } = options;
-  const withdrawn = new AbortController();
+  const { response } = request;
+  const ended = endsWithCaller ? new AbortController() : undefined;
+  const endWhenLeft = (): void => {
+    if (!response.writableFinished) ended?.abort(new Error('the caller has left'));
+  };
+  if (ended !== undefined) response.once('close', endWhenLeft);
+  let isWithdrawn = false;
   const remove = active.add({
     keyDigest,
     endForWithdrawnKey: () => {
-      if (endsWithCaller) withdrawn.abort(createWithdrawnFailure(Outcome.unknown));
+      if (ended === undefined) return;
+      isWithdrawn = true;
+      ended.abort(createWithdrawnFailure(Outcome.unknown));
     },
   });
-  const signals = endsWithCaller ? [withdrawn.signal, request.signal] : [withdrawn.signal];
   return {
-    signal: AbortSignal.any(signals),
+    signal: ended?.signal,
     toFailure: (error) => {
-      if (!withdrawn.signal.aborted) return error;
+      if (!isWithdrawn) return error;
       const isNotRun = error instanceof RequestError && error.failure.outcome === Outcome.notRun;
-      return isNotRun
-        ? createWithdrawnFailure(Outcome.notRun)
-        : (withdrawn.signal.reason as unknown);
+      return createWithdrawnFailure(isNotRun ? Outcome.notRun : Outcome.unknown);
+    },
+    close: () => {
+      response.off('close', endWhenLeft);
+      remove();
     },
-    close: remove,
   };
 }
--- a/src/programs/entry/_lib/relayStream.ts
+++ b/src/programs/entry/_lib/relayStream.ts
@@ -18,7 +18,7 @@
   /** Time in milliseconds for which the caller may leave the stream unread. */
   callerStallMs: number;
   /** Aborts when the caller has left or its key was withdrawn. */
-  signal: AbortSignal;
+  signal?: AbortSignal;
 }
 
 /** What a relayed stream cost. */
@@ -80,7 +80,9 @@
     });
   if (response.write(text)) return;
   const stalled = AbortSignal.timeout(callerStallMs);
-  await once(response, 'drain', { signal: AbortSignal.any([signal, stalled]) });
+  await once(response, 'drain', {
+    signal: signal === undefined ? stalled : AbortSignal.any([signal, stalled]),
+  });
 }
 
 /** Relays the events of one answer to its end; returns whether the stream is whole with it. */
@@ -127,7 +129,7 @@
     } catch (error) {
       cause = error;
     }
-    if (signal.aborted) throw signal.reason;
+    if (signal?.aborted === true) throw signal.reason;
     const { lastEventId } = state;
     if (lastEventId === undefined || resumes >= MAX_RESUMES || request.response.destroyed)
       throw new BackendServerError(`the stream was cut: ${formatError(cause)}`);
--- a/src/programs/entry/handlers/handlePlainRoute.ts
+++ b/src/programs/entry/handlers/handlePlainRoute.ts
@@ -44,7 +44,11 @@
   body: Buffer;
 }
 
-async function callService(run: PlainRun, place: Place, signal: AbortSignal): Promise<PlainAnswer> {
+async function callService(
+  run: PlainRun,
+  place: Place,
+  signal?: AbortSignal,
+): Promise<PlainAnswer> {
   const { context, request, route, caller, body } = run;
   const answer = await context.backends.call({
     origin: context.directory.getOrigin(place.candidate.id) ?? '',
--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -209,7 +209,10 @@
     settings,
     clock,
     operatorKeys: settings.operatorKeys,
-    collectStatus: () => collectStatus(buildHeartbeat(), book.listAlive(), facts.get()),
+    collectStatus: () => ({
+      ...collectStatus(buildHeartbeat(), book.listAlive(), facts.get()),
+      peerBytesSent: network.countBytesSent(),
+    }),
     takeWithdrawals,
   });
 
