Write the pages, and mend a wait that never ended

A timer may wake a fraction of a millisecond early; the waiter then found its wait not over and nobody tried again. Ruled out: slots (eight hosts start and hold theirs) and loans (no call was under way). Virtual time is exact and could not show it. Conclusion: timers are never trusted to be exact.

--- a/bench/parts.ts
+++ b/bench/parts.ts
@@ -1,4 +1,7 @@
 import { formatTable } from '#dist/programs/operator/_lib/output.js';
+import { measureControlCost, type ControlRow } from './controlCost.js';
+import { measurePathCost, type PathCost } from './pathCost.js';
+import { measurePlacement, type PlacementRow } from './placement.js';
 import { measureWrongfulRefusals, type WrongfulRow } from './wrongfulRefusals.js';
 
 /** One part of the benchmark. */
@@ -35,6 +38,77 @@
   );
 }
 
+function renderPlacement(rows: PlacementRow[]): string {
+  return formatTable(
+    [
+      'SIZE',
+      'FIRST PLAN',
+      'QUIET PLAN',
+      'ONE MODEL CHANGED',
+      'MOVED / NEEDED',
+      'UNREACHABLE',
+      'HEAP',
+      'LEDGER',
+    ],
+    rows.map((row) => [
+      row.size,
+      `${row.firstPlanMs.toFixed(1)} ms`,
+      `${row.quietPlanMs.toFixed(1)} ms`,
+      `${row.changedPlanMs.toFixed(1)} ms`,
+      `${row.movedItems} / ${row.neededItems}`,
+      String(row.unreachable),
+      `${row.heapMegabytes.toFixed(0)} MB`,
+      `${row.ledgerKilobytes.toFixed(0)} kB`,
+    ]),
+  );
+}
+
+function renderPathCost({
+  rows,
+  throughputRatio,
+  microsecondsPerToken,
+  loanAddedP99Ms,
+}: PathCost): string {
+  const table = formatTable(
+    ['PATH', 'REQUESTS/S', 'P50', 'P99', 'CPU'],
+    rows.map(({ path, requestsPerSecond, latency, cpuMicroseconds }) => [
+      path,
+      requestsPerSecond.toFixed(0),
+      `${latency.p50.toFixed(2)} ms`,
+      `${latency.p99.toFixed(2)} ms`,
+      `${cpuMicroseconds.toFixed(0)} us`,
+    ]),
+  );
+  return `${table}\nthroughput ratio ${throughputRatio.toFixed(2)}; ${microsecondsPerToken.toFixed(1)} us of processor time a token event; a loan adds ${loanAddedP99Ms.toFixed(1)} ms at p99`;
+}
+
+function renderControlCost(rows: ControlRow[]): string {
+  return formatTable(
+    [
+      'HOSTS',
+      'ORGANISATIONS',
+      'MODELS',
+      'CPU',
+      'RESIDENT',
+      'PEER BYTES SENT',
+      'READS',
+      'WRITES',
+      'WATCHES',
+    ],
+    rows.map((row) => [
+      String(row.hosts),
+      String(row.organisations),
+      String(row.models),
+      `${row.cpuPercent.toFixed(2)} %`,
+      `${row.residentMegabytes.toFixed(0)} MB`,
+      `${row.peerKilobytes.toFixed(2)} kB/s`,
+      `${row.readsPerSecond.toFixed(1)}/s`,
+      `${row.writesPerSecond.toFixed(1)}/s`,
+      String(row.standingWatches),
+    ]),
+  );
+}
+
 /** All parts by name. */
 export const parts: Record<string, BenchPart> = {
   wrongful: buildPart(
@@ -42,4 +116,11 @@
     measureWrongfulRefusals,
     renderWrongful,
   ),
+  placement: buildPart('3. Placement', measurePlacement, renderPlacement),
+  path: buildPart('4. Cost of the path', measurePathCost, renderPathCost),
+  control: buildPart(
+    '5. Control cost without traffic, each entry host',
+    measureControlCost,
+    renderControlCost,
+  ),
 };
--- a/src/coordination/createDispatcher/index.ts
+++ b/src/coordination/createDispatcher/index.ts
@@ -113,6 +113,11 @@
     };
   };
 
+  const hasRoom = (target: string): boolean =>
+    listCandidates(target).some(
+      ({ id, inFlight: known, window }) => known + (inFlight.get(id) ?? 0) < window,
+    );
+
   const finish = (waiter: Waiter, result: DispatchResult): void => {
     waiting.delete(waiter.id);
     waiter.resolve(result);
@@ -147,19 +152,21 @@
   function startWaiting(): void {
     const nowMs = clock.monotonicMs();
     dropLate(nowMs);
-    const blockedTargets = new Set<string>();
-    const blockedIds = new Set<string>();
-    for (;;) {
-      const open = [...waiting.values()].filter(
-        ({ id, request }) => !blockedTargets.has(request.target) && !blockedIds.has(id),
-      );
+    const targets = new Set([...waiting.values()].map(({ request }) => request.target));
+    const openTargets = new Set([...targets].filter(hasRoom));
+    let open = [...waiting.values()].filter(({ request }) => openTargets.has(request.target));
+    while (open.length > 0) {
       const next = chooseNext(open, served, nowMs);
       const waiter = next === undefined ? undefined : waiting.get(next.id);
       if (waiter === undefined) break;
-      if (tryToStart(waiter)) continue;
+      const isStarted = tryToStart(waiter);
       // A retry may be shut out of servers that are open to others.
-      if (waiter.request.excluded === undefined) blockedTargets.add(waiter.request.target);
-      else blockedIds.add(waiter.id);
+      const isTargetFull = !isStarted && waiter.request.excluded === undefined;
+      open = open.filter(
+        (other) =>
+          other.id !== waiter.id &&
+          !(isTargetFull && other.request.target === waiter.request.target),
+      );
     }
     if (waiting.size > 0) timer ??= setInterval(startWaiting, CHECK_MS);
     else {
--- a/src/coordination/createRateLimiter/index.ts
+++ b/src/coordination/createRateLimiter/index.ts
@@ -169,6 +169,8 @@
     );
     waiter.retryAtMs = nowMs + pauseMs;
     await waitFor(pauseMs);
+    // A timer may wake a little early; the wait is over all the same.
+    waiter.retryAtMs = -Infinity;
     startTries(state);
   };
 
--- a/src/coordination/createRateLimiter/test.ts
+++ b/src/coordination/createRateLimiter/test.ts
@@ -121,3 +121,15 @@
   ]);
   t.strictSame(order, ['large', 'small']);
 });
+
+t.test('tries again though its timer wakes early', async (t) => {
+  const clock = { nowMs: 0 };
+  const limiter = createLimiter(clock, {
+    wait: (milliseconds) => {
+      clock.nowMs += milliseconds * 0.9;
+      return Promise.resolve();
+    },
+  });
+  await ask(limiter, lendable);
+  t.ok((await ask(limiter, 100, 500)).admitted);
+});
--- /dev/null
+++ b/src/programs/settingsPage/renderPage.ts
@@ -0,0 +1,21 @@
+import { renderSettings } from '../../settings/index.js';
+import { entrySettings } from '../entry/settings.js';
+import { placementSettings } from '../placement/settings.js';
+
+const INTRODUCTION = `# Settings
+
+Made by \`npm run settings\` from the settings' own definitions; a test compares the two.
+A flag counts before its environment variable. All findings are reported at once, with exit code 2.
+
+The operators' command takes its flags from \`bronzelanding --help\`; it reads
+\`BRONZELANDING_KEY_VALUE_SERVICE\`, \`BRONZELANDING_OPERATOR_KEYS\` and \`BRONZELANDING_OPERATOR_KEY\`.
+`;
+
+/** Renders docs/settings.md. */
+export function renderSettingsPage(): string {
+  return [
+    INTRODUCTION,
+    renderSettings('bronzelanding-entry', entrySettings),
+    renderSettings('bronzelanding-placement', placementSettings),
+  ].join('\n');
+}
--- /dev/null
+++ b/src/settings/test.ts
@@ -0,0 +1,45 @@
+import { readFileSync } from 'node:fs';
+import { isLeft, isRight } from 'fp-ts/lib/Either.js';
+import t from 'tap';
+import { placementSettings } from '../programs/placement/settings.js';
+import { renderSettingsPage } from '../programs/settingsPage/renderPage.js';
+import { checkSettings, parseInteger, parseText } from './index.js';
+
+const definitions = {
+  port: { flag: 'port', variable: 'PORT', description: '', unit: '', parse: parseInteger(0, 9) },
+  name: {
+    flag: 'name',
+    variable: 'NAME',
+    description: '',
+    unit: '',
+    fallback: 'x',
+    parse: parseText(),
+  },
+};
+
+t.test('takes flags before variables before defaults', (t) => {
+  const checked = checkSettings(definitions, { port: '1' }, { PORT: '2', NAME: 'y' });
+  t.strictSame(isRight(checked) ? checked.right : undefined, { port: 1, name: 'y' });
+  t.end();
+});
+
+t.test('reports every finding at once with flag and variable', (t) => {
+  const checked = checkSettings(definitions, { port: 'many', prot: '1' }, { NAME: '' });
+  t.strictSame(isLeft(checked) ? checked.left.map(({ place }) => place) : [], [
+    '--prot',
+    '--port (PORT)',
+    '--name (NAME)',
+  ]);
+  t.end();
+});
+
+t.test('asks for what has no default', (t) => {
+  const checked = checkSettings(placementSettings, {}, {});
+  t.ok(isLeft(checked) && checked.left.some(({ message }) => message === 'is required'));
+  t.end();
+});
+
+t.test('docs/settings.md is what the definitions make', (t) => {
+  t.equal(readFileSync('docs/settings.md', 'utf8'), renderSettingsPage());
+  t.end();
+});
