--- a/src/adapters/peer/createConnection.ts
+++ b/src/adapters/peer/createConnection.ts
@@ -1,24 +1,24 @@
-import type { TLSSocket } from 'node:tls';
+import type { Socket } from 'node:net';
 import { formatError } from '../../errors/index.js';
 import type { Log } from '../../ports/log.js';
-import type { PeerMessage } from '../../ports/peers.js';
-import { createFrameReader, encodeFrame } from './frames.js';
+import { createFrameReader, encodeFrame, type MessageParser } from './frames.js';
 
 /** Bytes that may wait to be sent to one peer; a slower peer is disconnected. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
 
 /** One open connection to a peer. */
-export interface PeerConnection {
+export interface PeerConnection<Message extends object> {
   /** Returns false when the connection is gone or too far behind. */
-  send: (message: PeerMessage) => boolean;
+  send: (message: Message) => boolean;
   /** Settles when the connection has ended. */
   ended: Promise<void>;
   close: () => void;
 }
 
 /** What a connection does with what arrives. */
-export interface CreateConnectionOptions {
-  onMessage: (message: PeerMessage, connection: PeerConnection) => void;
+export interface CreateConnectionOptions<Message extends object> {
+  parse: MessageParser<Message>;
+  onMessage: (message: Message, connection: PeerConnection<Message>) => void;
   /** Called with the bytes of each frame that is sent. */
   onSent: (bytes: number) => void;
   log: Log;
@@ -27,13 +27,13 @@
 }
 
 /** Creates a connection over a socket; a malformed frame ends this connection with a log line. */
-export function createConnection(
-  socket: TLSSocket,
-  options: CreateConnectionOptions,
-): PeerConnection {
-  const { onMessage, onSent, log, peer } = options;
-  const readFrames = createFrameReader();
-  const connection: PeerConnection = {
+export function createConnection<Message extends object>(
+  socket: Socket,
+  options: CreateConnectionOptions<Message>,
+): PeerConnection<Message> {
+  const { parse, onMessage, onSent, log, peer } = options;
+  const readFrames = createFrameReader(parse);
+  const connection: PeerConnection<Message> = {
     send: (message) => {
       if (socket.destroyed || !socket.writable) return false;
       if (socket.writableLength > MAX_BUFFERED_BYTES) {
--- a/src/adapters/peer/index.ts
+++ b/src/adapters/peer/index.ts
@@ -15,6 +15,7 @@
   WithdrawalNotice,
 } from '../../ports/peers.js';
 import { createConnection, type PeerConnection } from './createConnection.js';
+import { parsePeerMessage } from './messages.js';
 import { connectSecurely, createSecureServer } from './secureSocket.js';
 
 const RECONNECT_MS = 250;
@@ -54,7 +55,7 @@
 
 interface PeerTask {
   endpoint: string;
-  connection?: PeerConnection;
+  connection?: PeerConnection<PeerMessage>;
   stop: AbortController;
 }
 
@@ -62,14 +63,14 @@
 export async function openPeerNetwork(options: CreatePeersOptions): Promise<PeerNetwork> {
   const { host, incarnation, address, secret, handlers, log } = options;
   const tasks = new Map<string, PeerTask>();
-  const accepted = new Set<PeerConnection>();
+  const accepted = new Set<PeerConnection<PeerMessage>>();
   let bytesSent = 0;
   const onSent = (bytes: number): void => {
     bytesSent += bytes;
   };
   const replies = new Map<string, (reply: LoanReply | FactsReply) => void>();
 
-  const handleMessage = (message: PeerMessage, connection: PeerConnection): void => {
+  const handleMessage = (message: PeerMessage, connection: PeerConnection<PeerMessage>): void => {
     switch (message.type) {
       case 'hello':
         return;
@@ -97,7 +98,13 @@
 
   const server = createSecureServer(secret, (socket) => {
     const peer = socket.remoteAddress ?? 'unknown';
-    const connection = createConnection(socket, { onMessage: handleMessage, onSent, log, peer });
+    const connection = createConnection(socket, {
+      parse: parsePeerMessage,
+      onMessage: handleMessage,
+      onSent,
+      log,
+      peer,
+    });
     accepted.add(connection);
     void connection.ended.then(() => accepted.delete(connection));
   });
@@ -117,6 +124,7 @@
           CONNECT_TIMEOUT_MS,
         );
         const connection = createConnection(socket, {
+          parse: parsePeerMessage,
           onMessage: handleMessage,
           onSent,
           log,
--- a/src/adapters/peer/test.ts
+++ b/src/adapters/peer/test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import type { PeerMessage } from '../../ports/peers.js';
 import { createFrameReader, encodeFrame } from './frames.js';
+import { parsePeerMessage } from './messages.js';
 
 const request: PeerMessage = { type: 'loanRequest', id: 'a', organisation: 'dryline', units: 5 };
 
@@ -11,7 +12,7 @@
     fc.integer({ min: 1, max: 5 }),
     (size, count) => {
       const bytes = Buffer.concat(Array.from({ length: count }, () => encodeFrame(request)));
-      const read = createFrameReader();
+      const read = createFrameReader(parsePeerMessage);
       const messages: PeerMessage[] = [];
       for (let start = 0; start < bytes.length; start += size)
         messages.push(...read(bytes.subarray(start, start + size)));
@@ -23,10 +24,10 @@
 });
 
 t.test('refuses a frame over the limit and one that is no message', (t) => {
-  t.throws(() => createFrameReader(8)(encodeFrame(request)), { name: 'PeerProtocolError' });
+  t.throws(() => createFrameReader(parsePeerMessage, 8)(encodeFrame(request)), { name: 'PeerProtocolError' });
   const wrong = encodeFrame({ ...request, units: -1 });
-  t.throws(() => createFrameReader()(wrong), { name: 'PeerProtocolError' });
+  t.throws(() => createFrameReader(parsePeerMessage)(wrong), { name: 'PeerProtocolError' });
   const noise = Buffer.concat([Buffer.from([0, 0, 0, 3]), Buffer.from([255, 255, 255])]);
-  t.throws(() => createFrameReader()(noise), { name: 'PeerProtocolError' });
+  t.throws(() => createFrameReader(parsePeerMessage)(noise), { name: 'PeerProtocolError' });
   t.end();
 });
--- /dev/null
+++ b/src/decisions/copies/planCopies/index.ts
@@ -0,0 +1,118 @@
+import type { CopyEngine, CopyModel, CopyMove } from '../types.js';
+
+/** Options of the plan. */
+export interface PlanCopiesOptions {
+  /** How much of the mean engine load a move must at least relieve; 0.08 by default. */
+  leastGain?: number;
+  /** How many times the loss of the copies that leave; 1.5 by default. */
+  gainOverLoss?: number;
+}
+
+interface Plan {
+  engines: readonly CopyEngine[];
+  models: ReadonlyMap<string, CopyModel>;
+  copies: ReadonlyMap<string, number>;
+  meanLoad: number;
+}
+
+function countCopies(engines: readonly CopyEngine[]): Map<string, number> {
+  const copies = new Map<string, number>();
+  for (const { models } of engines)
+    for (const model of models) copies.set(model, (copies.get(model) ?? 0) + 1);
+  return copies;
+}
+
+/** Work that each copy of a model bears. */
+function computeCopyLoad(plan: Plan, model: string, change = 0): number {
+  const copies = (plan.copies.get(model) ?? 0) + change;
+  const demand = plan.models.get(model)?.demand ?? 0;
+  return copies > 0 ? demand / copies : demand * 2;
+}
+
+function computeEngineLoad(plan: Plan, engine: CopyEngine): number {
+  return engine.models.reduce((sum, model) => sum + computeCopyLoad(plan, model), 0);
+}
+
+/** What the fleet loses when one copy of a model leaves. */
+function computeLoss(plan: Plan, model: string): number {
+  return computeCopyLoad(plan, model, -1) - computeCopyLoad(plan, model);
+}
+
+interface Room {
+  unload: string[];
+  loss: number;
+}
+
+/** Finds the copies that must leave an engine for a model to fit, those that are missed least. */
+function findRoom(plan: Plan, engine: CopyEngine, model: CopyModel, mayDropLast: boolean): Room | undefined {
+  let free = engine.capacityMb - engine.usedMb;
+  const unload: string[] = [];
+  let loss = 0;
+  const leavable = engine.models
+    .filter((name) => {
+      const copies = plan.copies.get(name) ?? 0;
+      const isIdle = (plan.models.get(name)?.demand ?? 0) === 0;
+      return copies > 1 || (mayDropLast && isIdle);
+    })
+    .sort((one, other) => computeLoss(plan, one) - computeLoss(plan, other));
+  for (const name of leavable) {
+    if (free >= model.weightsMb) break;
+    free += plan.models.get(name)?.weightsMb ?? 0;
+    loss += computeLoss(plan, name);
+    unload.push(name);
+  }
+  return free >= model.weightsMb ? { unload, loss } : undefined;
+}
+
+/** Chooses where one more copy of a model relieves the fleet most. */
+function chooseMove(plan: Plan, model: CopyModel, mayDropLast: boolean): (CopyMove & Room) | undefined {
+  let best: (CopyMove & Room & { cost: number }) | undefined;
+  for (const engine of plan.engines) {
+    if (!engine.isFree || engine.models.includes(model.name)) continue;
+    const room = findRoom(plan, engine, model, mayDropLast);
+    if (room === undefined) continue;
+    // A copy that leaves takes its work along; without anything to unload a load is quicker.
+    const cost =
+      computeEngineLoad(plan, engine) + room.loss + 0.01 * plan.meanLoad * room.unload.length;
+    if (best === undefined || cost < best.cost)
+      best = { engine: engine.id, load: model.name, ...room, cost };
+  }
+  return best;
+}
+
+/**
+ * Plans the next copy to load: first a model that is asked for and has none, then any model that
+ * has none where room is left, then the model whose copies bear most. Undefined when no move is
+ * worth its load. Load pattern: demand moves on to models with one copy within seconds.
+ */
+export function planCopies(
+  engines: readonly CopyEngine[],
+  models: readonly CopyModel[],
+  options: PlanCopiesOptions = {},
+): CopyMove | undefined {
+  const { leastGain = 0.08, gainOverLoss = 1.5 } = options;
+  const total = models.reduce((sum, { demand }) => sum + demand, 0);
+  const plan: Plan = {
+    engines,
+    models: new Map(models.map((model) => [model.name, model])),
+    copies: countCopies(engines),
+    meanLoad: total / Math.max(1, engines.length),
+  };
+  const byDemand = [...models].sort((one, other) => other.demand - one.demand);
+  for (const model of byDemand) {
+    if ((plan.copies.get(model.name) ?? 0) > 0) continue;
+    const move = chooseMove(plan, model, model.demand > 0);
+    if (move !== undefined) return { engine: move.engine, load: move.load, unload: move.unload };
+  }
+  const byCopyLoad = byDemand
+    .filter(({ name, demand }) => demand > 0 && (plan.copies.get(name) ?? 0) > 0)
+    .sort((one, other) => computeCopyLoad(plan, other.name) - computeCopyLoad(plan, one.name));
+  for (const model of byCopyLoad) {
+    const gain = computeCopyLoad(plan, model.name) - computeCopyLoad(plan, model.name, 1);
+    if (gain < leastGain * plan.meanLoad) return undefined;
+    const move = chooseMove(plan, model, false);
+    if (move !== undefined && gain > gainOverLoss * move.loss)
+      return { engine: move.engine, load: move.load, unload: move.unload };
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/decisions/copies/types.ts
@@ -0,0 +1,26 @@
+/** An engine as placement sees it. */
+export interface CopyEngine {
+  id: string;
+  /** Models that it holds and that are not about to leave. */
+  models: readonly string[];
+  /** Megabytes that are taken: models that are there, coming or leaving, and room for adapters. */
+  usedMb: number;
+  capacityMb: number;
+  /** Whether it can take an order to load now. */
+  isFree: boolean;
+}
+
+/** A model and the work that is asked of it. */
+export interface CopyModel {
+  name: string;
+  weightsMb: number;
+  /** Work a second, such as tokens. */
+  demand: number;
+}
+
+/** A copy to load, and the copies that leave to make room for it. */
+export interface CopyMove {
+  engine: string;
+  load: string;
+  unload: readonly string[];
+}
--- /dev/null
+++ b/src/decisions/serving/mayTryAgain/index.ts
@@ -0,0 +1,23 @@
+import { AttemptFailure, RepeatRule } from '../../../ports/serving.js';
+
+/** What is known of a request when an attempt has failed. */
+export interface FailedAttempt {
+  failure: AttemptFailure;
+  repeat: RepeatRule;
+  /** Attempts so far that may have run. */
+  attemptsRun: number;
+  maximumAttempts: number;
+  remainingMs: number;
+}
+
+const LEAST_USEFUL_MS = 30; // a round trip to a server and the shortest work there
+
+/**
+ * Decides whether a request may go to another server. An attempt that did not run may always be
+ * repeated; one that may have run only when the route allows it and attempts are left.
+ */
+export function mayTryAgain(failed: FailedAttempt): boolean {
+  if (failed.remainingMs < LEAST_USEFUL_MS) return false;
+  if (failed.failure !== AttemptFailure.broken) return true;
+  return failed.repeat !== RepeatRule.once && failed.attemptsRun < failed.maximumAttempts;
+}
--- /dev/null
+++ b/src/decisions/serving/types.ts
@@ -0,0 +1,38 @@
+/** A backend server as routing sees it, with the load of all hosts together. */
+export interface ServerCandidate {
+  id: string;
+  /** Requests on their way. */
+  active: number;
+  /** Requests that it works on at once. */
+  slots: number;
+  /** Prompt tokens of requests that have had no answer yet. */
+  backlogTokens: number;
+  /** Tokens of running requests that can't yield. */
+  heldTokens: number;
+  /** Tokens that fit into its memory; 0 for servers without models. */
+  memoryTokens: number;
+  /** Whether the adapter that the request asks for is there; true when it asks for none. */
+  holdsAdapter: boolean;
+  /** Whether it is in the data centre of this host. */
+  isNear: boolean;
+  /** Part of the last requests that it failed, from 0 to 1. */
+  failureShare: number;
+  /** Typical time of a request in milliseconds. */
+  runMs: number;
+}
+
+/** What routing needs to know of a request. */
+export interface RoutedRequest {
+  /** Requests with the same key share the start of their prompt; empty when nothing is shared. */
+  affinityKey: string;
+  /** Tokens at the start of the prompt that a server may have kept. */
+  sharedTokens: number;
+  /** Tokens that need memory of their own. */
+  ownTokens: number;
+}
+
+/** A candidate with the delay that a request would meet there. */
+export interface RankedServer {
+  candidate: ServerCandidate;
+  delayMs: number;
+}
--- /dev/null
+++ b/src/programs/fleetEntry/startFleetEntry.ts
@@ -0,0 +1,212 @@
+import { randomUUID } from 'node:crypto';
+import { setTimeout as wait } from 'node:timers/promises';
+import { formatError } from '../../errors/index.js';
+import type { Clock } from '../../ports/clock.js';
+import type { FleetStore } from '../../ports/fleetStore.js';
+import type { Log } from '../../ports/log.js';
+import type { ModelOrders } from '../../ports/modelOrders.js';
+import type {
+  BackendCaller,
+  BackendServer,
+  CallerReply,
+  ServingConfiguration,
+  ServingRequest,
+} from '../../ports/serving.js';
+import { createFleetPart } from '../../serving/createFleetPart.js';
+import { createOrganisationRates } from '../../serving/createOrganisationRates.js';
+import { createRepeatBudget } from '../../serving/createRepeatBudget.js';
+import { createServerBook } from '../../serving/createServerBook.js';
+import { followPrefix } from '../../serving/followPrefix.js';
+import { followServers } from '../../serving/followServers.js';
+import { keepMembership, type Membership } from '../../serving/keepMembership.js';
+import { serveRequest } from '../../serving/serveRequest.js';
+import type { ServingMetrics } from '../../serving/servingMetrics.js';
+import type { ServingContext } from '../../serving/types.js';
+
+/** The server that callers reach, as an adapter provides it. */
+export interface CallerPort {
+  listen: () => Promise<void>;
+  setConfiguration: (configuration: ServingConfiguration) => void;
+  startLeaving: () => void;
+  startRefusing: () => void;
+  stopListening: () => void;
+  countActive: () => number;
+}
+
+/** What a host is given: ports that an adapter fills, and bounds of the deployment. */
+export interface FleetEntryOptions {
+  host: string;
+  dataCentre: string;
+  address: string;
+  peerPort: number;
+  clock: Clock;
+  log: Log;
+  random: () => number;
+  metrics: ServingMetrics;
+  store: FleetStore;
+  backends: BackendCaller;
+  orders: ModelOrders;
+  /** Creates the server that callers reach. */
+  createCallers: (serve: (request: ServingRequest, reply: CallerReply) => void) => CallerPort;
+  configuration: { key: string; prefix: string; decode: (value: Buffer) => ServingConfiguration };
+  servers: { prefix: string; decode: (id: string, value: Buffer) => BackendServer };
+  bounds: FleetBounds;
+}
+
+/** Bounds that a deployment sets. */
+export interface FleetBounds {
+  repeatRatio: number;
+  repeatExtra: number;
+  repeatWindowMs: number;
+  leaseMs: number;
+  /** Longest time that a planned stop may take. */
+  graceMs: number;
+}
+
+/** A running host. */
+export interface FleetEntry {
+  isReady: () => boolean;
+  stop: () => Promise<void>;
+}
+
+const LEASE_TTL_MS = 3000; // a dead host is known within it; renewed three times a term
+const CONFIGURATION_WAIT_MS = 2000; // a silent connection is noticed within the bound for new versions
+const CONFIGURATION_PAUSE_MS = 100;
+const UNSEEN_MS = 2500; // the balancer asks each second and takes a host out after two misses
+const REFUSE_MS = 3000; // later requests might not end within the grace period
+const GRACE_MARGIN_MS = 700;
+const STOP_POLL_MS = 50;
+
+/** Starts a host: follows the store, keeps its part in the fleet, and serves once it knows enough. */
+export async function startFleetEntry(options: FleetEntryOptions): Promise<FleetEntry> {
+  const { host, clock, log, metrics, store, bounds } = options;
+  const incarnation = randomUUID();
+  const stopping = new AbortController();
+  const { signal } = stopping;
+  const book = createServerBook({ clock, log, dataCentre: options.dataCentre });
+  const rates = createOrganisationRates({ clock });
+  const repeats = createRepeatBudget({
+    clock,
+    ratio: bounds.repeatRatio,
+    extra: bounds.repeatExtra,
+    windowMs: bounds.repeatWindowMs,
+  });
+  let configuration: ServingConfiguration | undefined;
+  let hasServers = false;
+  let isStopping = false;
+
+  const takeConfiguration = (value: Buffer, source: string): void => {
+    try {
+      const next = options.configuration.decode(value);
+      if (next.version <= (configuration?.version ?? -1)) return;
+      log.info({ version: next.version, before: configuration?.version, source }, 'configuration in force');
+      configuration = next;
+      book.setConfiguration(next);
+      part.setConfiguration(next, value);
+      callers.setConfiguration(next);
+    } catch (error) {
+      log.error({ source, version: configuration?.version, error: formatError(error).slice(0, 500) }, 'configuration can not be read, the last one stays');
+    }
+  };
+
+  const part = createFleetPart({
+    clock,
+    log,
+    metrics,
+    orders: options.orders,
+    book,
+    rates,
+    repeats,
+    host,
+    incarnation,
+    membership: (): Membership => membership,
+    onConfiguration: (value) => takeConfiguration(Buffer.from(value), 'peer'),
+  });
+  const context: ServingContext = {
+    clock,
+    log,
+    metrics,
+    random: options.random,
+    book,
+    backends: options.backends,
+    rates,
+    repeats,
+    placement: part.placement,
+    recordUse: part.recordUse,
+    getVersion: () => configuration?.version ?? 0,
+  };
+  const callers = options.createCallers((request, reply) => {
+    serveRequest(context, request, reply).catch((error: unknown) => {
+      log.error({ requestId: request.id, error: formatError(error) }, 'request failed unexpectedly');
+      reply.cut();
+    });
+  });
+  await part.listen(options.address, options.peerPort);
+  await callers.listen();
+
+  const membership = keepMembership({
+    store,
+    clock,
+    log,
+    random: options.random,
+    self: { name: host, address: options.address, port: options.peerPort },
+    incarnation,
+    ttlMs: LEASE_TTL_MS,
+    handoverMs: bounds.leaseMs,
+    signal,
+    onHosts: part.setHosts,
+    onCommand: part.setFence,
+  });
+  void followPrefix({
+    store,
+    prefix: options.configuration.prefix,
+    log,
+    signal,
+    waitMs: CONFIGURATION_WAIT_MS,
+    pauseMs: CONFIGURATION_PAUSE_MS,
+    onItems: (items) => {
+      for (const { key, value } of items)
+        if (key === options.configuration.key) takeConfiguration(value, 'store');
+    },
+    onChanges: (changes) => {
+      for (const { key, value } of changes)
+        if (key === options.configuration.key && value !== undefined) takeConfiguration(value, 'store');
+    },
+    onReachable: () => undefined,
+  });
+  void followServers({
+    store,
+    prefix: options.servers.prefix,
+    clock,
+    log,
+    signal,
+    decode: options.servers.decode,
+    onServers: (servers) => {
+      hasServers = true;
+      book.setServers(servers);
+      part.setServers(servers);
+      options.backends.keepOnly(new Set([...servers.values()].map((server) => server.incarnation)));
+    },
+  });
+  log.info({ incarnation, address: options.address, peerPort: options.peerPort }, 'started');
+
+  const stop = async (): Promise<void> => {
+    isStopping = true;
+    const startedAtMs = clock.monotonicMs();
+    const lastMs = startedAtMs + bounds.graceMs - GRACE_MARGIN_MS;
+    log.info({ active: callers.countActive() }, 'planned stop begins');
+    callers.startLeaving();
+    await membership.leave();
+    await wait(UNSEEN_MS);
+    callers.stopListening();
+    await wait(REFUSE_MS - UNSEEN_MS);
+    callers.startRefusing();
+    while (callers.countActive() > 0 && clock.monotonicMs() < lastMs) await wait(STOP_POLL_MS);
+    stopping.abort();
+    part.close();
+    options.backends.close();
+    await store.close();
+    log.info({ active: callers.countActive(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) }, 'planned stop done');
+  };
+  return { isReady: () => !isStopping && configuration !== undefined && hasServers, stop };
+}
--- /dev/null
+++ b/src/serving/createEngineRoom.ts
@@ -0,0 +1,283 @@
+import { chooseVictim } from '../decisions/copies/chooseVictim/index.js';
+import type { Clock } from '../ports/clock.js';
+import type { Log } from '../ports/log.js';
+import { OrderOutcome, type ModelOrder, type ModelOrders } from '../ports/modelOrders.js';
+import type { BackendServer, EnginePool } from '../ports/serving.js';
+import type { ServingMetrics } from './servingMetrics.js';
+import type { AdapterGrant } from './types.js';
+
+/** What ordering one engine needs. */
+export interface EngineRoomOptions {
+  clock: Clock;
+  log: Log;
+  metrics: ServingMetrics;
+  orders: ModelOrders;
+  holder: string;
+  fence: number;
+  /** Makes sure that this host may order now. */
+  ensureCommand: () => Promise<boolean>;
+  isInUse: (server: string, adapter: string) => boolean;
+  server: BackendServer;
+  pool: EnginePool;
+}
+
+/** What the holder of the command knows of one engine, and its orders to it, one at a time. */
+export interface EngineRoom {
+  /** Takes what the engine says of itself, as far as it is not older than its last order. */
+  setServer: (server: BackendServer) => void;
+  setPool: (pool: EnginePool) => void;
+  getServer: () => BackendServer;
+  listModels: () => string[];
+  listAdapters: () => string[];
+  listLeaving: () => string[];
+  getLoading: () => string | undefined;
+  /** Megabytes taken by what is there, coming or leaving, and by room for adapters. */
+  computeUsedMb: () => number;
+  isFree: () => boolean;
+  /** Has an adapter loaded; undefined when it can't be now. */
+  takeAdapter: (model: string, adapter: string) => Promise<AdapterGrant | undefined>;
+  recordMissing: (adapter: string) => void;
+  /** Unloads some models, then loads one; settles when the load has begun, or can't. */
+  moveCopy: (load: string, unload: readonly string[]) => Promise<boolean>;
+}
+
+interface HeldModel {
+  /** Adapters with the moment at which each was last asked for. */
+  adapters: Map<string, number>;
+}
+
+const LOOK_AGAIN_MS = 500; // a report is some hundred milliseconds old
+const POLL_MS = 250; // reports are paid as probes
+const UNLOAD_MOST_MS = 9000; // the longest stream that an engine finishes first
+const LOAD_SLACK_MS = 4000; // a load is slower while others run
+const ANNOUNCE_MS = 350; // one round of the fleet's figures, after which no host sends to the copy
+const ADAPTER_BASE_MS = 4; // an adapter takes 5 to 9.7 ms for 12 to 66 MB
+const ADAPTER_MS_PER_MB = 0.09;
+const ADAPTER_TRIES = 2;
+
+function waitMilliseconds(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** Creates the orders of one engine. */
+export function createEngineRoom(options: EngineRoomOptions): EngineRoom {
+  const { clock, log, metrics, orders, holder, fence, ensureCommand, isInUse } = options;
+  let { server, pool } = options;
+  let orderCount = server.orderCount;
+  const models = new Map<string, HeldModel>();
+  const leaving = new Set<string>();
+  /** Adapters whose order got no answer: they may come, and take a place until that is known. */
+  let doubtful = 0;
+  let loading: string | undefined;
+  let isInDoubt = false;
+  let isMoving = false;
+  let lastOrderAtMs = -Infinity;
+  let chain: Promise<unknown> = Promise.resolve();
+
+  const findSize = (model: string) => pool.models.find(({ name }) => name === model);
+
+  const countAdapters = (): number =>
+    [...models.values()].reduce((sum, { adapters }) => sum + adapters.size, 0) + doubtful;
+
+  const adopt = (held: readonly { name: string; adapters: readonly string[] }[], count: number): void => {
+    orderCount = count;
+    const nowMs = clock.monotonicMs();
+    const before = new Map(models);
+    models.clear();
+    for (const { name, adapters } of held) {
+      const known = before.get(name)?.adapters;
+      models.set(name, {
+        adapters: new Map(adapters.map((adapter) => [adapter, known?.get(adapter) ?? nowMs])),
+      });
+    }
+    if (loading !== undefined && models.has(loading)) loading = undefined;
+    for (const model of leaving) if (!models.has(model)) leaving.delete(model);
+    doubtful = 0;
+  };
+  adopt(server.models, server.orderCount);
+
+  /** Runs tasks of this engine one after the other, as it takes one order at a time. */
+  const enqueue = <T>(task: () => Promise<T>): Promise<T> => {
+    const result = chain.then(task);
+    chain = result.catch(() => undefined);
+    return result;
+  };
+
+  const order = async (
+    action: ModelOrder['action'],
+    model: string,
+    adapter?: string,
+  ): Promise<OrderOutcome> => {
+    if (!(await ensureCommand())) {
+      log.warn({ server: server.id, action, model, adapter, fence }, 'order not sent, command unsure');
+      return OrderOutcome.refused;
+    }
+    const expectedCount = orderCount;
+    lastOrderAtMs = clock.monotonicMs();
+    const outcome = await orders.send(server, { action, model, adapter, expectedCount, holder, fence });
+    metrics.countOrder(action, outcome);
+    log.info({ server: server.id, action, model, adapter, expectedCount, fence, outcome }, 'order sent');
+    return outcome;
+  };
+
+  /** Finds out where the engine stands after an order without an answer, or a conflict. */
+  const lookAgain = async (): Promise<boolean> => {
+    isInDoubt = true;
+    await waitMilliseconds(LOOK_AGAIN_MS);
+    const report = await orders.readReport(server);
+    if (report === undefined) return false;
+    const loadingAdapters = report.loading.length;
+    adopt(report.models, report.orderCount);
+    doubtful = loadingAdapters;
+    isInDoubt = report.isBusy && loading === undefined;
+    log.info(
+      { server: server.id, orderCount, isBusy: report.isBusy, models: [...models.keys()] },
+      'engine looked at again',
+    );
+    return true;
+  };
+
+  const unloadVictim = async (): Promise<boolean> => {
+    const held = [...models].flatMap(([model, { adapters }]) =>
+      [...adapters].map(([adapter, wantedAtMs]) => {
+        const name = `${model}/${adapter}`;
+        return { name, model, adapter, wantedAtMs, isInUse: isInUse(server.id, name) };
+      }),
+    );
+    const victim = chooseVictim(held, clock.monotonicMs());
+    const chosen = held.find(({ name }) => name === victim?.name);
+    if (chosen === undefined) return false;
+    // From here on it counts as gone: nobody may be sent to it.
+    models.get(chosen.model)?.adapters.delete(chosen.adapter);
+    const outcome = await order('unload', chosen.model, chosen.adapter);
+    if (outcome === OrderOutcome.held) {
+      orderCount += 1;
+      return true;
+    }
+    // Accepted: runs still use it, and it keeps its place until they end.
+    if (outcome === OrderOutcome.accepted) orderCount += 1;
+    if (outcome !== OrderOutcome.refused) await lookAgain();
+    return false;
+  };
+
+  const loadAdapter = async (model: string, adapter: string): Promise<AdapterGrant | undefined> => {
+    const nowMs = clock.monotonicMs();
+    const held = models.get(model);
+    if (held === undefined || leaving.has(model)) return undefined;
+    const ready = { server: server.id, readyInMs: 0 };
+    if (held.adapters.has(adapter)) {
+      held.adapters.set(adapter, nowMs);
+      return ready;
+    }
+    if (countAdapters() >= pool.adapterPlaces && !(await unloadVictim())) return undefined;
+    if (countAdapters() >= pool.adapterPlaces) return undefined;
+    const outcome = await order('load', model, adapter);
+    if (outcome === OrderOutcome.accepted || outcome === OrderOutcome.held) {
+      if (outcome === OrderOutcome.accepted) orderCount += 1;
+      models.get(model)?.adapters.set(adapter, clock.monotonicMs());
+      const transfer = ADAPTER_BASE_MS + ADAPTER_MS_PER_MB * (findSize(model)?.adapterMb ?? 0);
+      return { server: server.id, readyInMs: outcome === OrderOutcome.held ? 0 : Math.ceil(transfer) };
+    }
+    if (outcome !== OrderOutcome.refused) {
+      doubtful += 1;
+      void enqueue(lookAgain);
+      isInDoubt = true;
+    }
+    return undefined;
+  };
+
+  const waitForReport = async (isDone: () => boolean, mostMs: number): Promise<boolean> => {
+    const startedAtMs = clock.monotonicMs();
+    while (clock.monotonicMs() - startedAtMs < mostMs) {
+      await waitMilliseconds(POLL_MS);
+      const report = await orders.readReport(server);
+      if (report === undefined) continue;
+      if (clock.monotonicMs() - lastOrderAtMs >= LOOK_AGAIN_MS) adopt(report.models, report.orderCount);
+      if (isDone() && !report.isBusy) return true;
+    }
+    return false;
+  };
+
+  const unloadModel = async (model: string): Promise<boolean> => {
+    const outcome = await order('unload', model);
+    if (outcome === OrderOutcome.accepted) orderCount += 1;
+    else if (outcome === OrderOutcome.refused) return false;
+    else if (outcome !== OrderOutcome.held) await lookAgain();
+    return waitForReport(() => !models.has(model), UNLOAD_MOST_MS);
+  };
+
+  const loadModel = async (model: string): Promise<boolean> => {
+    for (let tries = 0; tries < ADAPTER_TRIES; tries += 1) {
+      const outcome = await order('load', model);
+      if (outcome === OrderOutcome.accepted) {
+        orderCount += 1;
+        const size = findSize(model);
+        await waitForReport(() => models.has(model), (size?.loadMs ?? 0) + LOAD_SLACK_MS);
+        return models.has(model);
+      }
+      if (outcome === OrderOutcome.held || outcome === OrderOutcome.refused)
+        return outcome === OrderOutcome.held;
+      await lookAgain();
+      if (models.has(model)) return true;
+    }
+    return false;
+  };
+
+  return {
+    setServer: (next) => {
+      server = next;
+      const isNewer = next.orderCount >= orderCount;
+      const isSettled = clock.monotonicMs() - lastOrderAtMs > LOOK_AGAIN_MS;
+      if (isNewer && isSettled && !isInDoubt) adopt(next.models, next.orderCount);
+      else
+        for (const { name } of next.models)
+          if (!models.has(name) && name === loading) models.set(name, { adapters: new Map() });
+    },
+    setPool: (next) => {
+      pool = next;
+    },
+    getServer: () => server,
+    listModels: () => [...models.keys()].filter((model) => !leaving.has(model)),
+    listAdapters: () =>
+      [...models].flatMap(([model, { adapters }]) => [...adapters.keys()].map((adapter) => `${model}/${adapter}`)),
+    listLeaving: () => [...leaving],
+    getLoading: () => loading,
+    computeUsedMb: () => {
+      const held = new Set([...models.keys(), ...(loading === undefined ? [] : [loading])]);
+      const weights = [...held].reduce((sum, model) => sum + (findSize(model)?.weightsMb ?? 0), 0);
+      const largest = Math.max(0, ...pool.models.map(({ adapterMb }) => adapterMb));
+      return weights + largest * pool.adapterPlaces;
+    },
+    isFree: () => loading === undefined && leaving.size === 0 && !isInDoubt && !server.isLeaving,
+    takeAdapter: (model, adapter) => {
+      const held = models.get(model);
+      if (held?.adapters.has(adapter) === true && !leaving.has(model)) {
+        held.adapters.set(adapter, clock.monotonicMs());
+        return Promise.resolve({ server: server.id, readyInMs: 0 });
+      }
+      // An engine that moves a model takes no other order meanwhile.
+      if (isInDoubt || isMoving || server.isLeaving) return Promise.resolve(undefined);
+      return enqueue(() => loadAdapter(model, adapter));
+    },
+    recordMissing: (name) => {
+      if (clock.monotonicMs() - lastOrderAtMs < LOOK_AGAIN_MS) return;
+      const [model = '', adapter = ''] = name.split('/');
+      models.get(model)?.adapters.delete(adapter);
+    },
+    moveCopy: async (load, unload) => {
+      loading = load;
+      for (const model of unload) leaving.add(model);
+      try {
+        if (unload.length > 0) await waitMilliseconds(ANNOUNCE_MS);
+        isMoving = true;
+        for (const model of unload)
+          if (!(await enqueue(() => unloadModel(model)))) return false;
+        return await enqueue(() => loadModel(load));
+      } finally {
+        loading = undefined;
+        isMoving = false;
+        leaving.clear();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/serving/createFleetPart.ts
@@ -0,0 +1,284 @@
+import type { Clock } from '../ports/clock.js';
+import type { Log } from '../ports/log.js';
+import type { ModelOrders } from '../ports/modelOrders.js';
+import type { BackendServer, ServingConfiguration } from '../ports/serving.js';
+import { createFleetLink, type FleetConnection } from './createFleetLink.js';
+import type { OrganisationRates } from './createOrganisationRates.js';
+import type { RepeatBudget } from './createRepeatBudget.js';
+import type { ServerBook, ServerLoad } from './createServerBook.js';
+import type { FleetMessage, FleetReport, FleetView } from './fleetMessages.js';
+import type { FleetHost, Membership } from './keepMembership.js';
+import { leadFleet, type FleetLead } from './leadFleet.js';
+import type { ServingMetrics } from './servingMetrics.js';
+import type { AdapterGrant, AdapterWish, Placement } from './types.js';
+
+/** A host's part in the fleet: it reports to the holder of the command, or is the holder itself. */
+export interface FleetPart {
+  placement: Placement;
+  listen: (address: string, port: number) => Promise<void>;
+  setHosts: (hosts: readonly FleetHost[]) => void;
+  setFence: (fence: number | undefined) => void;
+  setConfiguration: (configuration: ServingConfiguration, value: Buffer) => void;
+  setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
+  recordUse: (server: string, adapter: string, change: 1 | -1) => void;
+  close: () => void;
+}
+
+/** Options of a host's part in the fleet. */
+export interface FleetPartOptions {
+  clock: Clock;
+  log: Log;
+  metrics: ServingMetrics;
+  orders: ModelOrders;
+  book: ServerBook;
+  rates: OrganisationRates;
+  repeats: RepeatBudget;
+  host: string;
+  incarnation: string;
+  membership: () => Membership;
+  /** Takes a configuration that a peer has passed on. */
+  onConfiguration: (value: Uint8Array) => void;
+}
+
+const ROUND_MS = 200; // figures older than that misplace a burst; see docs/platform.md
+const GRANT_MS = 700; // an order, one look again at the engine, and two messages
+const VIEW_FRESH_MS = 1500; // several rounds; later nobody is taken to place models
+const MODEL_POLL_MS = 40; // below the shortest objective by far
+
+function subtractLoads(view: FleetView): Map<string, ServerLoad> {
+  return new Map(
+    Object.entries(view.loads).map(([server, [active, backlog, held]]) => {
+      const own = view.ownLoads[server] ?? [0, 0, 0];
+      return [
+        server,
+        {
+          active: Math.max(0, active - own[0]),
+          backlogTokens: Math.max(0, backlog - own[1]),
+          heldTokens: Math.max(0, held - own[2]),
+        },
+      ];
+    }),
+  );
+}
+
+/** Creates a host's part in the fleet. */
+export function createFleetPart(options: FleetPartOptions): FleetPart {
+  const { clock, log, book, rates, repeats, host } = options;
+  let lead: FleetLead | undefined;
+  let configuration: ServingConfiguration | undefined;
+  let configurationValue: Buffer | undefined;
+  let servers: ReadonlyMap<string, BackendServer> = new Map();
+  let viewAtMs = -Infinity;
+  let loadingModels = new Set<string>();
+  const demand = new Map<string, number>();
+  const uses = new Map<string, number>();
+  const connections = new Map<string, FleetConnection>();
+  const grants = new Map<number, (grant: AdapterGrant | undefined) => void>();
+  const wishes = new Map<string, Promise<AdapterGrant | undefined>>();
+  let wishId = 0;
+
+  const buildReport = (): FleetReport => {
+    const asked = Object.fromEntries(demand);
+    demand.clear();
+    return {
+      type: 'report',
+      host,
+      incarnation: options.incarnation,
+      version: configuration?.version ?? 0,
+      loads: Object.fromEntries(
+        [...book.getOwnLoads()].map(([server, load]) => [
+          server,
+          [load.active, Math.round(load.backlogTokens), Math.round(load.heldTokens)],
+        ]),
+      ),
+      admitted: Object.fromEntries(rates.getAdmitted()),
+      demand: asked,
+      adaptersInUse: [...uses.keys()],
+      silent: book.listSilent(),
+    };
+  };
+
+  const applyView = (view: FleetView): void => {
+    viewAtMs = clock.monotonicMs();
+    book.setOthers(subtractLoads(view));
+    book.setAdapters(
+      new Map(Object.entries(view.adapters).map(([server, list]) => [server, new Set(list)])),
+    );
+    book.setLeavingModels(new Set(view.leavingModels));
+    book.setSuspects(new Set(view.suspects));
+    loadingModels = new Set(view.loadingModels);
+    repeats.setShare(view.hosts);
+    rates.setFleet({
+      epoch: String(view.fence),
+      totals: new Map(Object.entries(view.admitted)),
+      own: new Map(Object.entries(view.ownAdmitted)),
+      hosts: view.hosts,
+    });
+  };
+
+  const passConfiguration = (connection: FleetConnection): void => {
+    if (configurationValue !== undefined)
+      connection.send({ type: 'configuration', value: Buffer.from(configurationValue) });
+  };
+
+  const answerWish = async (
+    message: Extract<FleetMessage, { type: 'wish' }>,
+    connection: FleetConnection,
+  ): Promise<void> => {
+    const grant = await lead?.grantAdapter(message);
+    connection.send({
+      type: 'grant',
+      id: message.id,
+      server: grant?.server,
+      readyInMs: grant?.readyInMs ?? 0,
+    });
+  };
+
+  const handleHostMessage = (message: FleetMessage, connection: FleetConnection): void => {
+    if (message.type === 'report') {
+      lead?.recordReport(message);
+      if (message.version > (configuration?.version ?? 0))
+        connection.send({ type: 'configurationRequest' });
+    } else if (message.type === 'wish') void answerWish(message, connection);
+    else if (message.type === 'configurationRequest') passConfiguration(connection);
+    else if (message.type === 'configuration') options.onConfiguration(message.value);
+  };
+
+  const handleHolderMessage = (message: FleetMessage, connection: FleetConnection): void => {
+    if (message.type === 'view') {
+      applyView(message);
+      if (message.version > (configuration?.version ?? 0))
+        connection.send({ type: 'configurationRequest' });
+    } else if (message.type === 'grant')
+      grants.get(message.id)?.(
+        message.server === undefined
+          ? undefined
+          : { server: message.server, readyInMs: message.readyInMs },
+      );
+    else if (message.type === 'configurationRequest') passConfiguration(connection);
+    else if (message.type === 'configuration') options.onConfiguration(message.value);
+  };
+
+  const link = createFleetLink({
+    self: host,
+    log,
+    onHostMessage: (_, message, connection) => handleHostMessage(message, connection),
+    onHostConnected: (name, connection) => {
+      lead?.dropHost(name);
+      connections.set(name, connection);
+    },
+    onHostLost: (name) => connections.delete(name),
+    onHolderMessage: handleHolderMessage,
+    onHolderLost: () => {
+      book.setOthers(new Map());
+      book.forgetAdapters();
+    },
+  });
+
+  const countHosts = (): number =>
+    Math.max(1, connections.size + 1, options.membership().listHosts().length);
+
+  const runRound = (): void => {
+    const report = buildReport();
+    if (lead === undefined) {
+      if (!link.sendToHolder(report))
+        for (const [key, work] of Object.entries(report.demand)) demand.set(key, work);
+      return;
+    }
+    lead.recordReport(report);
+    const hosts = countHosts();
+    for (const [name, connection] of connections) connection.send(lead.buildView(name, hosts));
+    applyView(lead.buildView(host, hosts));
+  };
+  const rounds = setInterval(runRound, ROUND_MS);
+
+  const sendWish = (wish: AdapterWish): Promise<AdapterGrant | undefined> =>
+    new Promise((resolve) => {
+      wishId += 1;
+      const id = wishId;
+      const finish = (grant: AdapterGrant | undefined): void => {
+        clearTimeout(timer);
+        grants.delete(id);
+        resolve(grant);
+      };
+      const timer = setTimeout(() => finish(undefined), GRANT_MS);
+      grants.set(id, finish);
+      const isSent = link.sendToHolder({
+        type: 'wish',
+        id,
+        ...wish,
+        servers: [...wish.servers],
+        missing: [...wish.missing],
+      });
+      if (!isSent) finish(undefined);
+    });
+
+  const isPlacing = (): boolean => clock.monotonicMs() - viewAtMs < VIEW_FRESH_MS;
+
+  return {
+    placement: {
+      askForAdapter: (wish) => {
+        const key = `${wish.model}/${wish.adapter}`;
+        const known = wishes.get(key);
+        if (known !== undefined) return known;
+        const asked = (lead === undefined ? sendWish(wish) : lead.grantAdapter(wish)).finally(() =>
+          wishes.delete(key),
+        );
+        wishes.set(key, asked);
+        return asked;
+      },
+      recordDemand: (service, model, work) => {
+        const key = `${service}/${model}`;
+        demand.set(key, (demand.get(key) ?? 0) + work);
+      },
+      waitForModel: async (service, model, waitMs) => {
+        const untilMs = clock.monotonicMs() + waitMs;
+        const isHopeless = (): boolean => !isPlacing() && !loadingModels.has(`${service}/${model}`);
+        while (clock.monotonicMs() < untilMs && !isHopeless()) {
+          if (book.listCandidates({ service, model }).length > 0) return;
+          await new Promise((resolve) => setTimeout(resolve, MODEL_POLL_MS));
+        }
+      },
+    },
+    listen: link.listen,
+    setHosts: (hosts) => {
+      link.setHosts(hosts);
+    },
+    setFence: (fence) => {
+      lead?.stop();
+      lead = undefined;
+      options.metrics.setLeading(fence !== undefined);
+      if (fence !== undefined) {
+        lead = leadFleet({
+          ...options,
+          fence,
+          ensureCommand: () => options.membership().ensureCommand(),
+        });
+        if (configuration !== undefined) lead.setConfiguration(configuration);
+        lead.setServers(servers);
+      }
+      connections.clear();
+      link.lead(fence);
+    },
+    setConfiguration: (next, value) => {
+      configuration = next;
+      configurationValue = value;
+      lead?.setConfiguration(next);
+    },
+    setServers: (next) => {
+      servers = next;
+      lead?.setServers(next);
+    },
+    recordUse: (server, adapter, change) => {
+      const key = `${server}/${adapter}`;
+      const count = (uses.get(key) ?? 0) + change;
+      if (count > 0) uses.set(key, count);
+      else uses.delete(key);
+    },
+    close: () => {
+      clearInterval(rounds);
+      lead?.stop();
+      link.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/serving/createServerBook.ts
@@ -0,0 +1,295 @@
+import type { ServerCandidate } from '../decisions/serving/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { Log } from '../ports/log.js';
+import type { BackendServer, ServingConfiguration } from '../ports/serving.js';
+
+/** Load of one server as one host, or all of them, have put it there. */
+export interface ServerLoad {
+  active: number;
+  backlogTokens: number;
+  heldTokens: number;
+}
+
+/** What a request puts on a server. */
+export interface RequestWeight {
+  backlogTokens: number;
+  heldTokens: number;
+}
+
+/** A request's place on a server; each step is to be told once. */
+export interface BookedPlace {
+  /** Any bytes of an answer arrived. */
+  recordBytes: () => void;
+  /** The first bytes of the answer arrived. */
+  recordFirstBytes: () => void;
+  /** The request has left the server. */
+  release: (outcome: PlaceOutcome) => void;
+}
+
+/** How a request left a server, as far as the server's health goes. */
+export const PlaceOutcome = {
+  served: 'served',
+  failed: 'failed',
+  unreachable: 'unreachable',
+  /** Says nothing of the server. */
+  neutral: 'neutral',
+} as const;
+export type PlaceOutcome = (typeof PlaceOutcome)[keyof typeof PlaceOutcome];
+
+/** What the servers are known to be, to hold and to bear. */
+export interface ServerBook {
+  setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
+  setConfiguration: (configuration: ServingConfiguration) => void;
+  /** Takes the loads of the other hosts, and what the leader knows of the engines. */
+  setOthers: (loads: ReadonlyMap<string, ServerLoad>) => void;
+  /** Adapters of the engines that changed, as `MODEL/ADAPTER`. */
+  setAdapters: (changed: ReadonlyMap<string, ReadonlySet<string>>) => void;
+  /** Nobody tells adapters any more: what the engines last said counts. */
+  forgetAdapters: () => void;
+  /** Models that are about to leave an engine, as `SERVER/MODEL`. */
+  setLeavingModels: (leaving: ReadonlySet<string>) => void;
+  setSuspects: (servers: ReadonlySet<string>) => void;
+  find: (id: string) => BackendServer | undefined;
+  listAll: () => BackendServer[];
+  listCandidates: (options: ListCandidatesOptions) => ServerCandidate[];
+  holdsAdapter: (id: string, model: string, adapter: string) => boolean;
+  /** Corrects what is known of an engine until the leader or the engine says more. */
+  recordAdapter: (id: string, model: string, adapter: string, isThere: boolean) => void;
+  recordMissingModel: (id: string, model: string) => void;
+  takePlace: (id: string, weight: RequestWeight) => BookedPlace;
+  getOwnLoads: () => Map<string, ServerLoad>;
+  /** Servers that have been silent though they owe answers. */
+  listSilent: () => string[];
+}
+
+/** Which servers are asked for. */
+export interface ListCandidatesOptions {
+  service: string;
+  model?: string;
+  adapter?: string;
+  excluded?: ReadonlySet<string>;
+}
+
+interface Entry {
+  server: BackendServer;
+  load: ServerLoad;
+  others: ServerLoad;
+  failureShare: number;
+  failureAtMs: number;
+  avoidUntilMs: number;
+  streak: number;
+  lastBytesAtMs: number;
+  oldestWaitAtMs: number;
+  runMs: number;
+  /** Adapters that differ from what the leader last said. */
+  corrections: Map<string, boolean>;
+  missingModels: Map<string, number>;
+}
+
+const FAILURE_WEIGHT = 0.2; // five attempts decide what a server is thought of
+const FAILURE_HALF_LIFE_MS = 4000; // troubles of servers last some seconds
+const AVOID_MS = 800; // first pause after a server can't be reached; doubles to the greatest
+const AVOID_MOST_MS = 3000;
+const SILENT_MS = 900; // an engine in work sends some bytes every few tens of milliseconds
+const MISSING_MODEL_MS = 1500; // a report of the engine is newer by then
+const FIRST_RUN_MS = 200;
+const RUN_WEIGHT = 0.1;
+const NO_LOAD: ServerLoad = { active: 0, backlogTokens: 0, heldTokens: 0 };
+
+/** Creates the book of servers of this host. */
+export function createServerBook(options: {
+  clock: Clock;
+  log: Log;
+  dataCentre: string;
+}): ServerBook {
+  const { clock, log, dataCentre } = options;
+  const entries = new Map<string, Entry>();
+  let others: ReadonlyMap<string, ServerLoad> = new Map();
+  let configuration: ServingConfiguration | undefined;
+  const adaptersByServer = new Map<string, ReadonlySet<string>>();
+  let leavingModels: ReadonlySet<string> = new Set();
+  let suspects: ReadonlySet<string> = new Set();
+
+  const createEntry = (server: BackendServer): Entry => ({
+    server,
+    load: { ...NO_LOAD },
+    others: others.get(server.id) ?? NO_LOAD,
+    failureShare: 0,
+    failureAtMs: clock.monotonicMs(),
+    avoidUntilMs: 0,
+    streak: 0,
+    lastBytesAtMs: 0,
+    oldestWaitAtMs: Infinity,
+    runMs: FIRST_RUN_MS,
+    corrections: new Map(),
+    missingModels: new Map(),
+  });
+
+  const computeFailureShare = (entry: Entry, nowMs: number): number =>
+    entry.failureShare * 0.5 ** ((nowMs - entry.failureAtMs) / FAILURE_HALF_LIFE_MS);
+
+  const isSilent = (entry: Entry, nowMs: number): boolean =>
+    entry.load.active > 0 &&
+    nowMs - Math.max(entry.lastBytesAtMs, entry.oldestWaitAtMs) > SILENT_MS;
+
+  const holdsModel = (entry: Entry, model: string, nowMs: number): boolean => {
+    if ((entry.missingModels.get(model) ?? -Infinity) > nowMs) return false;
+    if (leavingModels.has(`${entry.server.id}/${model}`)) return false;
+    return entry.server.models.some(({ name }) => name === model);
+  };
+
+  const holdsAdapter = (entry: Entry, model: string, adapter: string): boolean => {
+    const name = `${model}/${adapter}`;
+    const corrected = entry.corrections.get(name);
+    if (corrected !== undefined) return corrected;
+    const known = adaptersByServer.get(entry.server.id);
+    if (known !== undefined) return known.has(name);
+    return entry.server.models.some(
+      (held) => held.name === model && held.adapters.includes(adapter),
+    );
+  };
+
+  const toCandidate = (entry: Entry, request: ListCandidatesOptions, nowMs: number): ServerCandidate => {
+    const { server, load } = entry;
+    const engines = configuration?.services.get(server.service)?.engines;
+    return {
+      id: server.id,
+      active: load.active + entry.others.active,
+      slots: server.slots,
+      backlogTokens: load.backlogTokens + entry.others.backlogTokens,
+      heldTokens: load.heldTokens + entry.others.heldTokens,
+      memoryTokens: engines?.memoryTokens ?? 0,
+      holdsAdapter:
+        request.model === undefined ||
+        request.adapter === undefined ||
+        holdsAdapter(entry, request.model, request.adapter),
+      isNear: server.dataCentre === dataCentre,
+      failureShare: computeFailureShare(entry, nowMs),
+      runMs: entry.runMs,
+    };
+  };
+
+  const recordOutcome = (entry: Entry, outcome: PlaceOutcome, nowMs: number): void => {
+    if (outcome === PlaceOutcome.neutral) return;
+    const isFailure = outcome !== PlaceOutcome.served;
+    const share = computeFailureShare(entry, nowMs);
+    entry.failureShare = share + FAILURE_WEIGHT * ((isFailure ? 1 : 0) - share);
+    entry.failureAtMs = nowMs;
+    entry.streak = outcome === PlaceOutcome.unreachable ? entry.streak + 1 : 0;
+    if (outcome !== PlaceOutcome.unreachable) return;
+    entry.avoidUntilMs = nowMs + Math.min(AVOID_MOST_MS, AVOID_MS * 2 ** (entry.streak - 1));
+    log.warn(
+      { server: entry.server.id, streak: entry.streak, avoidMs: Math.round(entry.avoidUntilMs - nowMs) },
+      'server not reached, avoided',
+    );
+  };
+
+  return {
+    setServers: (servers) => {
+      for (const id of entries.keys()) if (!servers.has(id)) entries.delete(id);
+      for (const [id, server] of servers) {
+        const entry = entries.get(id);
+        if (entry?.server.incarnation !== server.incarnation) entries.set(id, createEntry(server));
+        else {
+          if (entry.server.orderCount !== server.orderCount && !adaptersByServer.has(id))
+            entry.corrections.clear();
+          entry.server = server;
+        }
+      }
+    },
+    setConfiguration: (next) => {
+      configuration = next;
+    },
+    setOthers: (loads) => {
+      others = loads;
+      for (const [id, entry] of entries) entry.others = loads.get(id) ?? NO_LOAD;
+    },
+    setAdapters: (changed) => {
+      for (const [id, adapters] of changed) {
+        adaptersByServer.set(id, adapters);
+        entries.get(id)?.corrections.clear();
+      }
+    },
+    forgetAdapters: () => {
+      adaptersByServer.clear();
+    },
+    setLeavingModels: (leaving) => {
+      leavingModels = leaving;
+    },
+    setSuspects: (servers) => {
+      suspects = servers;
+    },
+    find: (id) => entries.get(id)?.server,
+    listAll: () => [...entries.values()].map(({ server }) => server),
+    listCandidates: (request) => {
+      const nowMs = clock.monotonicMs();
+      const { service, model, excluded } = request;
+      const fit = [...entries.values()].filter(
+        (entry) =>
+          entry.server.service === service &&
+          !entry.server.isLeaving &&
+          excluded?.has(entry.server.id) !== true &&
+          (model === undefined || holdsModel(entry, model, nowMs)),
+      );
+      const sound = fit.filter(
+        (entry) =>
+          entry.avoidUntilMs <= nowMs && !isSilent(entry, nowMs) && !suspects.has(entry.server.id),
+      );
+      // A server in doubt is still better than none.
+      return (sound.length > 0 ? sound : fit).map((entry) => toCandidate(entry, request, nowMs));
+    },
+    holdsAdapter: (id, model, adapter) => {
+      const entry = entries.get(id);
+      return entry !== undefined && holdsAdapter(entry, model, adapter);
+    },
+    recordAdapter: (id, model, adapter, isThere) => {
+      entries.get(id)?.corrections.set(`${model}/${adapter}`, isThere);
+    },
+    recordMissingModel: (id, model) => {
+      entries.get(id)?.missingModels.set(model, clock.monotonicMs() + MISSING_MODEL_MS);
+    },
+    takePlace: (id, { backlogTokens, heldTokens }) => {
+      const entry = entries.get(id);
+      const startedAtMs = clock.monotonicMs();
+      if (entry === undefined)
+        return { recordBytes: () => undefined, recordFirstBytes: () => undefined, release: () => undefined };
+      const { load } = entry;
+      if (load.active === 0) entry.oldestWaitAtMs = startedAtMs;
+      load.active += 1;
+      load.backlogTokens += backlogTokens;
+      load.heldTokens += heldTokens;
+      let isWaiting = true;
+      const endWait = (): void => {
+        if (!isWaiting) return;
+        isWaiting = false;
+        load.backlogTokens -= backlogTokens;
+      };
+      return {
+        recordBytes: () => {
+          entry.lastBytesAtMs = clock.monotonicMs();
+        },
+        recordFirstBytes: () => {
+          entry.lastBytesAtMs = clock.monotonicMs();
+          endWait();
+        },
+        release: (outcome) => {
+          const nowMs = clock.monotonicMs();
+          endWait();
+          load.active -= 1;
+          load.heldTokens -= heldTokens;
+          if (outcome === PlaceOutcome.served) {
+            entry.lastBytesAtMs = nowMs;
+            entry.runMs += RUN_WEIGHT * (nowMs - startedAtMs - entry.runMs);
+          }
+          recordOutcome(entry, outcome, nowMs);
+        },
+      };
+    },
+    getOwnLoads: () =>
+      new Map([...entries].filter(([, { load }]) => load.active > 0).map(([id, { load }]) => [id, load])),
+    listSilent: () => {
+      const nowMs = clock.monotonicMs();
+      return [...entries.values()].filter((entry) => isSilent(entry, nowMs)).map(({ server }) => server.id);
+    },
+  };
+}
--- /dev/null
+++ b/src/serving/keepMembership.ts
@@ -0,0 +1,288 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { isAborted } from '../common/isAborted.js';
+import { isHolderSure, type HeldLease } from '../decisions/command/isHolderSure/index.js';
+import { formatError } from '../errors/index.js';
+import type { Clock } from '../ports/clock.js';
+import { TransactionResult, type FleetStore, type StoreChange, type StoreItem } from '../ports/fleetStore.js';
+import type { Log } from '../ports/log.js';
+import { followPrefix } from './followPrefix.js';
+
+/** Prefix of the fleet's own keys. */
+export const FLEET_PREFIX = 'bronzelanding/';
+const HOSTS_PREFIX = `${FLEET_PREFIX}hosts/`;
+const COMMAND_KEY = `${FLEET_PREFIX}command`;
+/** Who held the command last; outlives the lease. */
+const LAST_HOLDER_KEY = `${FLEET_PREFIX}last-holder`;
+
+/** Where a host takes connections of its peers. */
+export interface FleetHost {
+  name: string;
+  address: string;
+  port: number;
+}
+
+/** This host's part in the fleet: its entry, the other hosts, and the command over engines. */
+export interface Membership {
+  listHosts: () => FleetHost[];
+  /** The fence under which this host holds the command; undefined when it does not. */
+  getFence: () => number | undefined;
+  /** Makes sure that this host may order now, with the store where needed. */
+  ensureCommand: () => Promise<boolean>;
+  /** Gives up the entry and the command. */
+  leave: () => Promise<void>;
+}
+
+/** Options of keeping this host's membership. */
+export interface KeepMembershipOptions {
+  store: FleetStore;
+  clock: Clock;
+  log: Log;
+  random: () => number;
+  self: FleetHost;
+  incarnation: string;
+  /** Term of the lease in milliseconds. */
+  ttlMs: number;
+  /** Time in which two holders must not take turns. */
+  handoverMs: number;
+  signal: AbortSignal;
+  onHosts: (hosts: FleetHost[]) => void;
+  onCommand: (fence: number | undefined) => void;
+}
+
+const WATCH_WAIT_MS = 2500; // below the time in which a silent connection must be noticed
+const WATCH_PAUSE_MS = 200;
+const TICK_MS = 100; // four ticks within the longest gap that is taken for running
+const RENEWALS_A_TERM = 3; // two lost renewals are survived
+const CONTEND_MS = 250; // spreads the hosts that try to take the command
+
+interface Known {
+  hosts: Map<string, FleetHost>;
+  command?: { holder: string; incarnation: string; revision: number };
+  commandRevision: number;
+  lastHolder: string;
+  lastHolderRevision: number;
+  isListed: boolean;
+}
+
+function parseJson(value: Buffer): Record<string, unknown> | undefined {
+  try {
+    return JSON.parse(value.toString('utf8')) as Record<string, unknown>;
+  } catch {
+    return undefined;
+  }
+}
+
+function applyItem(known: Known, { key, value, revision }: StoreChange, log: Log): void {
+  const parsed = value === undefined ? undefined : parseJson(value);
+  if (value !== undefined && parsed === undefined)
+    log.warn({ key, revision }, 'an entry of the fleet can not be read, ignored');
+  if (key === COMMAND_KEY) {
+    known.commandRevision = parsed === undefined ? 0 : revision;
+    known.command =
+      parsed === undefined
+        ? undefined
+        : { holder: String(parsed['holder']), incarnation: String(parsed['incarnation']), revision };
+  } else if (key === LAST_HOLDER_KEY) {
+    known.lastHolder = String(parsed?.['holder'] ?? '');
+    known.lastHolderRevision = revision;
+  } else if (key.startsWith(HOSTS_PREFIX)) {
+    const name = key.slice(HOSTS_PREFIX.length);
+    if (parsed === undefined) known.hosts.delete(name);
+    else
+      known.hosts.set(name, {
+        name,
+        address: String(parsed['address']),
+        port: Number(parsed['port']),
+      });
+  }
+}
+
+/** Keeps this host listed, follows the other hosts, and takes the command when nobody holds it. */
+export function keepMembership(options: KeepMembershipOptions): Membership {
+  const { store, clock, log, random, self, incarnation, ttlMs, handoverMs, signal } = options;
+  const known: Known = {
+    hosts: new Map(),
+    commandRevision: 0,
+    lastHolder: '',
+    lastHolderRevision: 0,
+    isListed: false,
+  };
+  let lease: (HeldLease & { id: number }) | undefined;
+  let fence: number | undefined;
+  let mayOrderAtMs = 0;
+  let lastTickMs = clock.monotonicMs();
+  let renewing: Promise<boolean> | undefined;
+
+  const ticks = setInterval(() => {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - lastTickMs > TICK_MS * 4) {
+      log.warn({ gapMs: Math.round(nowMs - lastTickMs) }, 'this process was paused');
+      // What was true of the lease before the pause is known no more.
+      if (lease !== undefined) lease.renewedAtMs = -Infinity;
+    }
+    lastTickMs = nowMs;
+  }, TICK_MS);
+  ticks.unref();
+
+  const setFence = (next: number | undefined): void => {
+    if (fence === next) return;
+    fence = next;
+    log.info({ fence, lastHolder: known.lastHolder }, next === undefined ? 'command lost' : 'command taken');
+    options.onCommand(next);
+  };
+
+  const loseLease = (): void => {
+    lease = undefined;
+    setFence(undefined);
+  };
+
+  const grant = async (): Promise<void> => {
+    const renewedAtMs = clock.monotonicMs();
+    const renewedAtWallMs = clock.wallMs();
+    const granted = await store.grantLease(ttlMs);
+    const writes = [
+      {
+        key: `${HOSTS_PREFIX}${self.name}`,
+        value: JSON.stringify({ address: self.address, port: self.port, incarnation }),
+        lease: granted.lease,
+      },
+    ];
+    await store.transact({ conditions: [], writes });
+    lease = { id: granted.lease, ttlMs: granted.ttlMs, renewedAtMs, renewedAtWallMs, lastTickMs };
+    log.info({ lease: granted.lease, ttlMs: granted.ttlMs }, 'listed in the fleet');
+  };
+
+  const renew = async (): Promise<boolean> => {
+    if (lease === undefined) return false;
+    const current = lease;
+    const renewedAtMs = clock.monotonicMs();
+    const renewedAtWallMs = clock.wallMs();
+    const isAlive = await store.renewLease(current.id);
+    if (!isAlive) {
+      log.warn({ lease: current.id, ageMs: Math.round(renewedAtMs - current.renewedAtMs) }, 'lease ended');
+      if (lease === current) loseLease();
+      return false;
+    }
+    current.renewedAtMs = renewedAtMs;
+    current.renewedAtWallMs = renewedAtWallMs;
+    return true;
+  };
+
+  const renewOnce = (): Promise<boolean> => {
+    renewing ??= renew()
+      .catch((error: unknown) => {
+        log.warn({ error: formatError(error) }, 'lease not renewed');
+        return false;
+      })
+      .finally(() => {
+        renewing = undefined;
+      });
+    return renewing;
+  };
+
+  /** Takes over a command key that bears this process's name, also when the write was done late. */
+  const adoptCommand = (previousHolder: string): void => {
+    const { command } = known;
+    const isOwn = command?.holder === self.name && command.incarnation === incarnation;
+    if (!isOwn) {
+      setFence(undefined);
+      return;
+    }
+    if (fence === command.revision) return;
+    // The one before may have ordered until its lease ended.
+    const isSameHost = previousHolder === '' || previousHolder === self.name;
+    mayOrderAtMs = clock.monotonicMs() + (isSameHost ? 0 : handoverMs);
+    setFence(command.revision);
+  };
+
+  const takeCommand = async (): Promise<void> => {
+    if (lease === undefined || !known.isListed || known.command !== undefined) return;
+    await wait(random() * CONTEND_MS, undefined, { signal });
+    if (known.command !== undefined) return;
+    const { result } = await store.transact({
+      conditions: [
+        { key: COMMAND_KEY, revision: 0 },
+        { key: LAST_HOLDER_KEY, revision: known.lastHolderRevision },
+      ],
+      writes: [
+        {
+          key: COMMAND_KEY,
+          value: JSON.stringify({ holder: self.name, incarnation }),
+          lease: lease.id,
+        },
+        { key: LAST_HOLDER_KEY, value: JSON.stringify({ holder: self.name }) },
+      ],
+    });
+    if (result === TransactionResult.leaseEnded) loseLease();
+  };
+
+  const keepLease = async (): Promise<void> => {
+    while (!isAborted(signal)) {
+      try {
+        if (lease === undefined) await grant();
+        else await renewOnce();
+        await takeCommand();
+      } catch (error) {
+        if (!isAborted(signal)) log.warn({ error: formatError(error) }, 'membership not renewed');
+      }
+      await wait(ttlMs / RENEWALS_A_TERM, undefined, { signal }).catch(() => undefined);
+    }
+  };
+
+  const applyChanges = (changes: readonly StoreChange[]): void => {
+    const before = [...known.hosts.keys()].join();
+    const previousHolder = known.lastHolder;
+    for (const change of changes) applyItem(known, change, log);
+    known.isListed = true;
+    adoptCommand(previousHolder);
+    const hosts = [...known.hosts.values()];
+    if (before !== [...known.hosts.keys()].join()) {
+      log.info({ hosts: hosts.map(({ name }) => name) }, 'hosts of the fleet changed');
+      options.onHosts(hosts);
+    }
+    if (known.command === undefined)
+      takeCommand().catch((error: unknown) =>
+        log.warn({ error: formatError(error) }, 'command not taken'),
+      );
+  };
+
+  void keepLease();
+  void followPrefix({
+    store,
+    prefix: FLEET_PREFIX,
+    log,
+    signal,
+    waitMs: WATCH_WAIT_MS,
+    pauseMs: WATCH_PAUSE_MS,
+    onItems: (items: StoreItem[]) => {
+      known.hosts.clear();
+      known.command = undefined;
+      applyChanges(items);
+    },
+    onChanges: applyChanges,
+    onReachable: () => undefined,
+  });
+
+  return {
+    listHosts: () => [...known.hosts.values()],
+    getFence: () => fence,
+    ensureCommand: async () => {
+      if (fence === undefined || lease === undefined) return false;
+      if (clock.monotonicMs() < mayOrderAtMs) return false;
+      const isSure = (): boolean =>
+        lease !== undefined &&
+        isHolderSure({ ...lease, lastTickMs }, clock.monotonicMs(), clock.wallMs());
+      if (isSure()) return true;
+      return (await renewOnce()) && fence !== undefined && isSure();
+    },
+    leave: async () => {
+      clearInterval(ticks);
+      if (lease === undefined) return;
+      const { id } = lease;
+      loseLease();
+      await store.endLease(id).catch((error: unknown) => {
+        log.warn({ error: formatError(error) }, 'lease not ended, it runs out by itself');
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/serving/leadFleet.ts
@@ -0,0 +1,248 @@
+import { planCopies } from '../decisions/copies/planCopies/index.js';
+import type { CopyModel } from '../decisions/copies/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { Log } from '../ports/log.js';
+import type { ModelOrders } from '../ports/modelOrders.js';
+import type { BackendServer, EnginePool, ServingConfiguration } from '../ports/serving.js';
+import { createEngineRoom, type EngineRoom } from './createEngineRoom.js';
+import type { FleetReport, FleetView } from './fleetMessages.js';
+import type { ServingMetrics } from './servingMetrics.js';
+import type { AdapterGrant, AdapterWish } from './types.js';
+
+/** What leading the fleet needs. */
+export interface LeadFleetOptions {
+  clock: Clock;
+  log: Log;
+  metrics: ServingMetrics;
+  orders: ModelOrders;
+  host: string;
+  fence: number;
+  ensureCommand: () => Promise<boolean>;
+}
+
+/** The work of the host that holds the command: figures of all hosts, adapters and copies. */
+export interface FleetLead {
+  setConfiguration: (configuration: ServingConfiguration) => void;
+  setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
+  recordReport: (report: FleetReport) => void;
+  dropHost: (host: string) => void;
+  /** Builds what one host is told; it is told of each engine's adapters when they changed. */
+  buildView: (host: string, hosts: number) => FleetView;
+  grantAdapter: (wish: AdapterWish) => Promise<AdapterGrant | undefined>;
+  stop: () => void;
+}
+
+interface HostState {
+  report: FleetReport;
+  atMs: number;
+  /** Adapters of each engine that the host was told last. */
+  told: Map<string, string>;
+}
+
+const PLAN_MS = 300; // a few plans within the time of one load
+const HOST_FRESH_MS = 1500; // figures of a host that is silent for longer count no more
+const DEMAND_HALF_LIFE_MS = 2500; // demand moves within some seconds
+const MOST_LOADS_AT_ONCE = 3; // what the weight store of the smallest site gives full speed
+const CEILING_PART = 0.9; // the weight store counts the loads at other moments than this host
+const LOAD_BURST = 3;
+const LEAST_DEMAND = 1; // work a second below which nobody is said to ask
+
+function computeAllowance(spent: readonly number[], loadsPerSecond: number, nowMs: number): boolean {
+  const windowMs = 5000;
+  const recent = spent.filter((atMs) => nowMs - atMs < windowMs).length;
+  return recent + 1 <= CEILING_PART * loadsPerSecond * (windowMs / 1000) + LOAD_BURST - 1;
+}
+
+/** Starts leading the fleet under one fence. */
+export function leadFleet(options: LeadFleetOptions): FleetLead {
+  const { clock, log, fence } = options;
+  const rooms = new Map<string, EngineRoom>();
+  const incarnations = new Map<string, string>();
+  const hosts = new Map<string, HostState>();
+  const totals = new Map<string, number>();
+  const demand = new Map<string, number>();
+  let demandAtMs = clock.monotonicMs();
+  let configuration: ServingConfiguration | undefined;
+  let servers: ReadonlyMap<string, BackendServer> = new Map();
+  let loadsAtMs: number[] = [];
+  let isStopped = false;
+
+  const listFresh = (): HostState[] => {
+    const nowMs = clock.monotonicMs();
+    return [...hosts.values()].filter(({ atMs }) => nowMs - atMs < HOST_FRESH_MS);
+  };
+
+  const isInUse = (server: string, adapter: string): boolean =>
+    listFresh().some(({ report }) => report.adaptersInUse.includes(`${server}/${adapter}`));
+
+  const findPool = (service: string): EnginePool | undefined =>
+    configuration?.services.get(service)?.engines;
+
+  const updateRooms = (): void => {
+    for (const id of rooms.keys()) if (!servers.has(id)) rooms.delete(id);
+    for (const [id, server] of servers) {
+      const pool = findPool(server.service);
+      if (pool === undefined) continue;
+      const room = rooms.get(id);
+      if (room !== undefined && incarnations.get(id) === server.incarnation) {
+        room.setPool(pool);
+        room.setServer(server);
+        continue;
+      }
+      incarnations.set(id, server.incarnation);
+      rooms.set(id, createEngineRoom({ ...options, holder: options.host, isInUse, server, pool }));
+    }
+  };
+
+  /** Work a second of each model, with older work counting less. */
+  const decayDemand = (): void => {
+    const nowMs = clock.monotonicMs();
+    const factor = 0.5 ** ((nowMs - demandAtMs) / DEMAND_HALF_LIFE_MS);
+    demandAtMs = nowMs;
+    for (const [key, work] of demand) demand.set(key, work * factor);
+  };
+
+  const listModels = (service: string, pool: EnginePool): CopyModel[] => {
+    // Decayed work of a steady demand is the rate times the mean life.
+    const lifeSeconds = DEMAND_HALF_LIFE_MS / 1000 / Math.LN2;
+    return pool.models.map(({ name, weightsMb }) => {
+      const work = (demand.get(`${service}/${name}`) ?? 0) / lifeSeconds;
+      return { name, weightsMb, demand: work < LEAST_DEMAND ? 0 : work };
+    });
+  };
+
+  const planService = (service: string, pool: EnginePool): void => {
+    const own = [...rooms].filter(([id]) => servers.get(id)?.service === service);
+    const loading = own.filter(([, room]) => room.getLoading() !== undefined).length;
+    const nowMs = clock.monotonicMs();
+    loadsAtMs = loadsAtMs.filter((atMs) => nowMs - atMs < 10_000);
+    if (loading >= MOST_LOADS_AT_ONCE) return;
+    if (!computeAllowance(loadsAtMs, pool.loadsPerSecond, nowMs)) return;
+    const models = listModels(service, pool);
+    const engines = own
+      .filter(([, room]) => !room.getServer().isLeaving)
+      .map(([id, room]) => {
+        const coming = room.getLoading();
+        return {
+          id,
+          models: [...room.listModels(), ...(coming === undefined ? [] : [coming])],
+          usedMb: room.computeUsedMb(),
+          capacityMb: pool.weightsMb,
+          isFree: room.isFree(),
+        };
+      });
+    const move = planCopies(engines, models);
+    if (move === undefined) return;
+    loadsAtMs.push(nowMs);
+    const asked = models.find(({ name }) => name === move.load)?.demand ?? 0;
+    log.info({ ...move, fence, demand: Math.round(asked) }, 'copy planned');
+    rooms
+      .get(move.engine)
+      ?.moveCopy(move.load, move.unload)
+      .then((isDone) =>
+        log.info({ ...move, fence, tookMs: Math.round(clock.monotonicMs() - nowMs) }, isDone ? 'copy loaded' : 'copy not loaded'),
+      )
+      .catch((error: unknown) => log.error({ ...move, error: String(error) }, 'copy failed'));
+  };
+
+  const plan = async (): Promise<void> => {
+    decayDemand();
+    if (configuration === undefined || isStopped || !(await options.ensureCommand())) return;
+    for (const service of configuration.services.values())
+      if (service.engines !== undefined) planService(service.name, service.engines);
+  };
+  const timer = setInterval(() => {
+    plan().catch((error: unknown) => log.error({ error: String(error) }, 'placement failed'));
+  }, PLAN_MS);
+
+  const sumLoads = (): FleetView['loads'] => {
+    const loads: FleetView['loads'] = {};
+    for (const { report } of listFresh())
+      for (const [server, [active, backlog, held]] of Object.entries(report.loads)) {
+        const sum = loads[server] ?? [0, 0, 0];
+        loads[server] = [sum[0] + active, sum[1] + backlog, sum[2] + held];
+      }
+    return loads;
+  };
+
+  const recordAdmitted = (report: FleetReport, before: FleetReport | undefined): void => {
+    const isSame = before?.incarnation === report.incarnation;
+    for (const [name, tokens] of Object.entries(report.admitted)) {
+      // What a host admitted before this host led is not counted: it is gone by in the buckets.
+      const known = isSame ? (before.admitted[name] ?? 0) : before === undefined ? tokens : 0;
+      totals.set(name, (totals.get(name) ?? 0) + Math.max(0, tokens - known));
+    }
+  };
+
+  const listSuspects = (): string[] => {
+    const fresh = listFresh();
+    const votes = new Map<string, number>();
+    for (const { report } of fresh)
+      for (const server of report.silent) votes.set(server, (votes.get(server) ?? 0) + 1);
+    // A single host may itself be cut off from a server.
+    const needed = Math.min(2, fresh.length);
+    return [...votes].filter(([, count]) => count >= needed).map(([server]) => server);
+  };
+
+  return {
+    setConfiguration: (next) => {
+      configuration = next;
+      updateRooms();
+    },
+    setServers: (next) => {
+      servers = next;
+      updateRooms();
+    },
+    recordReport: (report) => {
+      const known = hosts.get(report.host);
+      recordAdmitted(report, known?.report);
+      for (const [key, work] of Object.entries(report.demand))
+        demand.set(key, (demand.get(key) ?? 0) + work);
+      hosts.set(report.host, { report, atMs: clock.monotonicMs(), told: known?.told ?? new Map() });
+    },
+    dropHost: (host) => {
+      hosts.get(host)?.told.clear();
+    },
+    buildView: (host, hostCount) => {
+      const state = hosts.get(host);
+      const adapters: FleetView['adapters'] = {};
+      for (const [id, room] of rooms) {
+        const list = room.listAdapters();
+        const text = list.join();
+        if (state?.told.get(id) === text) continue;
+        state?.told.set(id, text);
+        adapters[id] = list;
+      }
+      return {
+        type: 'view',
+        fence,
+        version: configuration?.version ?? 0,
+        hosts: hostCount,
+        loads: sumLoads(),
+        admitted: Object.fromEntries(totals),
+        ownLoads: state?.report.loads ?? {},
+        ownAdmitted: state?.report.admitted ?? {},
+        adapters,
+        leavingModels: [...rooms].flatMap(([id, room]) => room.listLeaving().map((model) => `${id}/${model}`)),
+        loadingModels: [...rooms].flatMap(([id, room]) => {
+          const model = room.getLoading();
+          return model === undefined ? [] : [`${servers.get(id)?.service ?? ''}/${model}`];
+        }),
+        suspects: listSuspects(),
+      };
+    },
+    grantAdapter: async ({ model, adapter, servers: wanted, missing }) => {
+      for (const id of missing) rooms.get(id)?.recordMissing(`${model}/${adapter}`);
+      for (const id of wanted) {
+        const grant = await rooms.get(id)?.takeAdapter(model, adapter);
+        if (grant !== undefined) return grant;
+      }
+      log.info({ model, adapter, wanted, fence }, 'no engine takes the adapter');
+      return undefined;
+    },
+    stop: () => {
+      isStopped = true;
+      clearInterval(timer);
+    },
+  };
+}
--- /dev/null
+++ b/src/serving/serveRequest.ts
@@ -0,0 +1,298 @@
+import { mayTryAgain } from '../decisions/serving/mayTryAgain/index.js';
+import { rankServers } from '../decisions/serving/rankServers/index.js';
+import type { RankedServer, RoutedRequest } from '../decisions/serving/types.js';
+import {
+  AttemptFailure,
+  RepeatRule,
+  type BackendServer,
+  type CallerReply,
+  type ServingRequest,
+} from '../ports/serving.js';
+import { PlaceOutcome } from './createServerBook.js';
+import { AttemptEnd, runAttempt, type AttemptResult } from './runAttempt.js';
+import type { ServingContext } from './types.js';
+
+const MOST_SENDS = 5; // refusals cost a round trip each; more of them don't find room either
+const MODEL_WAIT_MS = 3000; // a load from the weight store, and the order before it
+const LEAST_RETRY_AFTER_MS = 150; // a few rounds of the fleet's figures
+const MOST_RETRY_AFTER_MS = 2000;
+const ADAPTER_CHOICES = 3; // engines that the placing host may choose from
+const SHARED_WEIGHT = 0.3; // prompt starts are held once for all requests that share them
+const OUTPUT_WORK = 8; // a token of the answer costs about as much as so many of the prompt
+
+/** Describes a request for routing. */
+export function describeRequest(request: ServingRequest): RoutedRequest {
+  const { parts, promptTokens, greatestOutput } = request;
+  const shared = parts.slice(0, -1);
+  const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+  const lastShared = shared[shared.length - 1];
+  const model = `${request.model ?? ''}/${request.adapter ?? ''}`;
+  return {
+    affinityKey: lastShared === undefined ? '' : `${model}/${lastShared.id}`,
+    sharedTokens,
+    ownTokens: Math.max(0, promptTokens - sharedTokens) + greatestOutput,
+  };
+}
+
+/** What a request came to while it was served. */
+interface Course {
+  context: ServingContext;
+  request: ServingRequest;
+  reply: CallerReply;
+  routed: RoutedRequest;
+  excluded: Set<string>;
+  sends: number;
+  attemptsRun: number;
+  /** Servers that said that they lack the adapter. */
+  missing: Set<string>;
+  lastEventId?: string;
+  lastReason: string;
+  lastServer?: string;
+}
+
+function computeRemainingMs({ context, request }: Course): number {
+  return request.deadlineAtMs - context.clock.monotonicMs();
+}
+
+function logEnd(course: Course, status: number, reason: string, inputs: object = {}): void {
+  const { context, request } = course;
+  const elapsedMs = context.clock.monotonicMs() - request.arrivedAtMs;
+  context.metrics.countRequest(request.route.name, status, reason);
+  context.metrics.recordDuration(request.route.name, elapsedMs);
+  context.log.info(
+    {
+      requestId: request.id,
+      route: request.route.name,
+      service: request.service,
+      organisation: request.organisation?.name,
+      model: request.model,
+      adapter: request.adapter,
+      server: course.lastServer,
+      status,
+      sends: course.sends,
+      attemptsRun: course.attemptsRun,
+      elapsedMs: Math.round(elapsedMs),
+      version: context.getVersion(),
+      ...inputs,
+    },
+    reason,
+  );
+}
+
+/** Ends a request with an answer of the system's own; a started answer is cut instead. */
+function failRequest(
+  course: Course,
+  status: number,
+  reason: string,
+  { retryAfterMs, ...inputs }: { retryAfterMs?: number; cause?: string; delayMs?: number } = {},
+): void {
+  const { reply } = course;
+  logEnd(course, status, reason, { retryAfterMs, ...inputs });
+  if (reply.signal.aborted) return;
+  if (reply.isHeadSent()) reply.cut();
+  else
+    reply.fail(
+      status,
+      reason,
+      retryAfterMs === undefined
+        ? undefined
+        : Math.min(MOST_RETRY_AFTER_MS, Math.max(LEAST_RETRY_AFTER_MS, retryAfterMs)),
+    );
+}
+
+/** Refuses a request that has not run, or owns up to not knowing when an attempt may have run. */
+function refuseRequest(course: Course, reason: string, retryAfterMs: number, cause?: string): void {
+  if (course.attemptsRun > 0) failRequest(course, 502, 'attempt failed, outcome unknown', { cause });
+  else failRequest(course, 503, reason, { retryAfterMs, cause });
+}
+
+function rankCandidates(course: Course): RankedServer[] {
+  const { context, request, routed, excluded } = course;
+  const { service, model, adapter } = request;
+  const candidates = context.book.listCandidates({ service, model, adapter, excluded });
+  return rankServers(candidates, routed, context.random);
+}
+
+/** Ranks the servers of a request; waits for a model that no engine holds yet. */
+async function findServers(course: Course): Promise<RankedServer[]> {
+  const { context, request } = course;
+  const ranked = rankCandidates(course);
+  if (ranked.length > 0 || request.model === undefined) return ranked;
+  const waitMs = Math.min(MODEL_WAIT_MS, computeRemainingMs(course));
+  await context.placement.waitForModel(request.service, request.model, waitMs);
+  return rankCandidates(course);
+}
+
+async function waitMilliseconds(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** Chooses a server that holds what the request needs, and has an adapter loaded when none does. */
+async function chooseServer(course: Course): Promise<BackendServer | undefined> {
+  const { context, request } = course;
+  const { model, adapter } = request;
+  const ranked = await findServers(course);
+  const best = ranked[0];
+  if (best === undefined) return undefined;
+  if (model === undefined || adapter === undefined || best.candidate.holdsAdapter)
+    return context.book.find(best.candidate.id);
+  const servers = ranked.slice(0, ADAPTER_CHOICES).map(({ candidate }) => candidate.id);
+  const grant = await context.placement.askForAdapter({
+    model,
+    adapter,
+    servers,
+    missing: [...course.missing],
+  });
+  if (grant !== undefined) {
+    if (grant.readyInMs > 0) await waitMilliseconds(grant.readyInMs);
+    context.book.recordAdapter(grant.server, model, adapter, true);
+    return context.book.find(grant.server);
+  }
+  const holder = ranked.find(({ candidate }) => candidate.holdsAdapter);
+  return holder === undefined ? undefined : context.book.find(holder.candidate.id);
+}
+
+/** Notes what a failed attempt says of its server. */
+function recordFailure(course: Course, server: BackendServer, failure: AttemptFailure): void {
+  const { context, request, excluded } = course;
+  const { model, adapter } = request;
+  if (failure !== AttemptFailure.misdirected) {
+    excluded.add(server.id);
+    return;
+  }
+  if (model === undefined) excluded.add(server.id);
+  else if (adapter !== undefined && !course.missing.has(server.id)) {
+    course.missing.add(server.id);
+    context.book.recordAdapter(server.id, model, adapter, false);
+  }
+  else {
+    context.book.recordMissingModel(server.id, model);
+    excluded.add(server.id);
+  }
+}
+
+function toPlaceOutcome({ end, failure, status }: AttemptResult): PlaceOutcome {
+  if (end === AttemptEnd.served) return PlaceOutcome.served;
+  if (end === AttemptEnd.serverError || end === AttemptEnd.relayed) return PlaceOutcome.failed;
+  if (end === AttemptEnd.timedOut && status === 0) return PlaceOutcome.failed;
+  if (end !== AttemptEnd.failed) return PlaceOutcome.neutral;
+  if (failure === AttemptFailure.unreachable) return PlaceOutcome.unreachable;
+  return failure === AttemptFailure.broken ? PlaceOutcome.failed : PlaceOutcome.neutral;
+}
+
+/** Sends the request to one server; returns whether it may go on with another one. */
+async function tryServer(course: Course, server: BackendServer): Promise<boolean> {
+  const { context, request, reply, routed } = course;
+  const { repeat, maximumAttempts } = request.route;
+  const place = context.book.takePlace(server.id, {
+    backlogTokens: routed.ownTokens,
+    heldTokens: routed.ownTokens + SHARED_WEIGHT * routed.sharedTokens,
+  });
+  const use = request.adapter === undefined ? undefined : `${request.model ?? ''}/${request.adapter}`;
+  if (use !== undefined) context.recordUse(server.id, use, 1);
+  course.sends += 1;
+  course.lastServer = server.id;
+  const result = await runAttempt({
+    context,
+    request,
+    reply,
+    server,
+    place,
+    lastEventId: course.lastEventId,
+    mayReplace: repeat !== RepeatRule.once && course.attemptsRun + 1 < maximumAttempts,
+  });
+  place.release(toPlaceOutcome(result));
+  if (use !== undefined) context.recordUse(server.id, use, -1);
+  context.metrics.countAttempt(request.service, result.failure ?? result.end);
+  course.lastEventId = result.lastEventId ?? course.lastEventId;
+  course.lastReason = result.reason;
+  if (result.end === AttemptEnd.served || result.end === AttemptEnd.relayed) {
+    logEnd(course, result.status, result.end === AttemptEnd.served ? 'served' : result.reason, {
+      firstBytesMs: result.firstBytesMs,
+    });
+    return false;
+  }
+  if (result.end === AttemptEnd.callerLeft) {
+    logEnd(course, 0, 'caller left');
+    return false;
+  }
+  const failure = result.failure ?? AttemptFailure.broken;
+  if (failure === AttemptFailure.broken) course.attemptsRun += 1;
+  recordFailure(course, server, failure);
+  if (result.end === AttemptEnd.timedOut) {
+    failRequest(course, 504, 'no answer in time', { cause: result.reason });
+    return false;
+  }
+  const mayGoOn =
+    course.sends < MOST_SENDS &&
+    mayTryAgain({
+      failure,
+      repeat: reply.isHeadSent() && repeat !== RepeatRule.resumable ? RepeatRule.once : repeat,
+      attemptsRun: course.attemptsRun,
+      maximumAttempts,
+      remainingMs: computeRemainingMs(course),
+    }) &&
+    // A server that was never reached saw no arrival.
+    (failure === AttemptFailure.unreachable || context.repeats.takeRepeat(request.service));
+  if (mayGoOn) return true;
+  if (failure === AttemptFailure.broken)
+    failRequest(course, 502, 'attempt failed, outcome unknown', { cause: result.reason });
+  else refuseRequest(course, 'servers refused the request', LEAST_RETRY_AFTER_MS, result.reason);
+  return false;
+}
+
+async function runCourse(course: Course): Promise<void> {
+  const { context, request, reply } = course;
+  for (;;) {
+    const server = await chooseServer(course);
+    if (reply.signal.aborted) {
+      logEnd(course, 0, 'caller left');
+      return;
+    }
+    if (computeRemainingMs(course) <= 0) {
+      refuseRequest(course, 'no server in time', LEAST_RETRY_AFTER_MS, course.lastReason);
+      return;
+    }
+    if (server === undefined) {
+      const reason = request.model === undefined ? 'no server' : 'no engine for the model or adapter';
+      refuseRequest(course, reason, MOST_RETRY_AFTER_MS / 2, course.lastReason);
+      return;
+    }
+    if (!(await tryServer(course, server))) return;
+  }
+}
+
+/** Serves one request from its admission to the end of its answer. */
+export async function serveRequest(
+  context: ServingContext,
+  request: ServingRequest,
+  reply: CallerReply,
+): Promise<void> {
+  const course: Course = {
+    context,
+    request,
+    reply,
+    routed: describeRequest(request),
+    excluded: new Set(),
+    missing: new Set(),
+    sends: 0,
+    attemptsRun: 0,
+    lastReason: '',
+  };
+  const { organisation, chargedTokens, model, service } = request;
+  if (organisation !== undefined) {
+    const charge = context.rates.charge(organisation, chargedTokens);
+    if (!charge.isWithin) {
+      failRequest(course, 429, 'organisation is over its rate', { retryAfterMs: charge.retryAfterMs });
+      return;
+    }
+  }
+  context.repeats.recordRequest(service);
+  if (model !== undefined) {
+    const work = course.routed.ownTokens + OUTPUT_WORK * request.greatestOutput;
+    context.placement.recordDemand(service, model, work);
+  }
+  await runCourse(course);
+  if (course.sends === 0 && organisation !== undefined)
+    context.rates.refund(organisation.name, chargedTokens);
+}
--- /dev/null
+++ b/src/serving/servingMetrics.ts
@@ -0,0 +1,60 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6, 12];
+
+/** Counters and histograms of a host that serves. */
+export interface ServingMetrics {
+  /** Renders all of them as text. */
+  render: () => Promise<string>;
+  countRequest: (route: string, status: number, reason: string) => void;
+  countAttempt: (service: string, outcome: string) => void;
+  /** Seconds from a request's arrival to the first bytes of its answer. */
+  recordFirstBytes: (route: string, milliseconds: number) => void;
+  recordDuration: (route: string, milliseconds: number) => void;
+  countStoreCall: (kind: string, isAnswered: boolean) => void;
+  countConnection: () => void;
+  countOrder: (action: string, outcome: string) => void;
+  setLeading: (isLeading: boolean) => void;
+  countOmittedLog: () => void;
+}
+
+/** Creates the metrics in a registry of their own. */
+export function createServingMetrics(): ServingMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const counter = (name: string, help: string, labelNames: string[]): Counter =>
+    new Counter({ name: `bronzelanding_${name}`, help, labelNames, registers });
+  const histogram = (name: string, help: string): Histogram =>
+    new Histogram({
+      name: `bronzelanding_${name}`,
+      help,
+      labelNames: ['route'],
+      buckets: SECONDS,
+      registers,
+    });
+  const requests = counter('requests_total', 'Answers to callers', ['route', 'status', 'reason']);
+  const attempts = counter('attempts_total', 'Requests sent to servers', ['service', 'outcome']);
+  const storeCalls = counter('store_calls_total', 'Calls of the store', ['kind', 'answered']);
+  const connections = counter('backend_connections_total', 'Connections opened to servers', []);
+  const orders = counter('orders_total', 'Orders to engines', ['action', 'outcome']);
+  const omitted = counter('log_lines_omitted_total', 'Log lines above the limit', []);
+  const firstBytes = histogram('first_bytes_seconds', 'Arrival to first bytes of the answer');
+  const durations = histogram('request_seconds', 'Arrival to the end of the answer');
+  const leading = new Gauge({
+    name: 'bronzelanding_leading',
+    help: 'Whether this host places models',
+    registers,
+  });
+  return {
+    render: () => registry.metrics(),
+    countRequest: (route, status, reason) => requests.inc({ route, status: String(status), reason }),
+    countAttempt: (service, outcome) => attempts.inc({ service, outcome }),
+    recordFirstBytes: (route, milliseconds) => firstBytes.observe({ route }, milliseconds / 1000),
+    recordDuration: (route, milliseconds) => durations.observe({ route }, milliseconds / 1000),
+    countStoreCall: (kind, isAnswered) => storeCalls.inc({ kind, answered: String(isAnswered) }),
+    countConnection: () => connections.inc(),
+    countOrder: (action, outcome) => orders.inc({ action, outcome }),
+    setLeading: (isLeading) => leading.set(isLeading ? 1 : 0),
+    countOmittedLog: () => omitted.inc(),
+  };
+}
--- a/src/settings/parsers.ts
+++ b/src/settings/parsers.ts
@@ -82,3 +82,27 @@
     return left('is not JSON');
   }
 }
+
+/** Parses a number within bounds, also one with a fraction. */
+export function parseNumber(minimum: number, maximum: number): SettingParser<number> {
+  return (text) => {
+    const value = Number(text);
+    const isFine = /^\d+(\.\d+)?$/.test(text) && value >= minimum && value <= maximum;
+    return isFine ? right(value) : left(`"${text}" is not a number from ${minimum} to ${maximum}`);
+  };
+}
+
+/** Where a server listens. */
+export interface Endpoint {
+  address: string;
+  port: number;
+}
+
+/** Parses `address:port` with an IP number. */
+export function parseEndpoint(text: string): Either<string, Endpoint> {
+  const separator = text.lastIndexOf(':');
+  const port = Number(text.slice(separator + 1));
+  const address = parseAddress(text.slice(0, Math.max(0, separator)));
+  const isFine = address._tag === 'Right' && Number.isInteger(port) && port >= 0 && port <= 65_535;
+  return isFine ? right({ address: address.right, port }) : left(`"${text}" is not address:port`);
+}
