Take the count of orders from an engine's report

Cause: an entry's number counts heartbeats, a report's number of the same name counts orders; every order was refused with 409. Placement also began before all engines had written their entries.

--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -114,8 +114,6 @@
   dataCentre: string;
   slots: number;
   isLeaving: boolean;
-  /** Orders that the engine has accepted since its start. */
-  orderCount: number;
   models: readonly ResidentModel[];
   /** Changes with each start of the server, also under the same id. */
   incarnation: string;
--- a/src/serving/createEngineRoom.ts
+++ b/src/serving/createEngineRoom.ts
@@ -47,6 +47,7 @@
 }
 
 const LOOK_AGAIN_MS = 500; // a report is some hundred milliseconds old
+const ENTRY_NEWER_MS = 3000; // engines write their entry every second or two, and it lags
 const POLL_MS = 250; // reports are paid as probes
 const UNLOAD_MOST_MS = 9000; // the longest stream that an engine finishes first
 const LOAD_SLACK_MS = 4000; // a load is slower while others run
@@ -63,7 +64,8 @@
 export function createEngineRoom(options: EngineRoomOptions): EngineRoom {
   const { clock, log, metrics, orders, holder, fence, ensureCommand, isInUse } = options;
   let { server, pool } = options;
-  let orderCount = server.orderCount;
+  /** Orders that the engine has accepted; unknown until it has reported. */
+  let orderCount: number | undefined;
   const models = new Map<string, HeldModel>();
   const leaving = new Set<string>();
   /** Adapters whose order got no answer: they may come, and take a place until that is known. */
@@ -79,8 +81,7 @@
   const countAdapters = (): number =>
     [...models.values()].reduce((sum, { adapters }) => sum + adapters.size, 0) + doubtful;
 
-  const adopt = (held: readonly { name: string; adapters: readonly string[] }[], count: number): void => {
-    orderCount = count;
+  const adopt = (held: readonly { name: string; adapters: readonly string[] }[]): void => {
     const nowMs = clock.monotonicMs();
     const before = new Map(models);
     models.clear();
@@ -94,7 +95,7 @@
     for (const model of leaving) if (!models.has(model)) leaving.delete(model);
     doubtful = 0;
   };
-  adopt(server.models, server.orderCount);
+  adopt(server.models);
 
   /** Runs tasks of this engine one after the other, as it takes one order at a time. */
   const enqueue = <T>(task: () => Promise<T>): Promise<T> => {
@@ -112,7 +113,8 @@
       log.warn({ server: server.id, action, model, adapter, fence }, 'order not sent, command unsure');
       return OrderOutcome.refused;
     }
-    const expectedCount = orderCount;
+    if (orderCount === undefined && !(await lookAgain(0))) return OrderOutcome.refused;
+    const expectedCount = orderCount ?? 0;
     lastOrderAtMs = clock.monotonicMs();
     const outcome = await orders.send(server, { action, model, adapter, expectedCount, holder, fence });
     metrics.countOrder(action, outcome);
@@ -120,15 +122,24 @@
     return outcome;
   };
 
+  const countOrder = (): void => {
+    if (orderCount !== undefined) orderCount += 1;
+  };
+
   /** Finds out where the engine stands after an order without an answer, or a conflict. */
-  const lookAgain = async (): Promise<boolean> => {
+  const lookAgain = async (afterMs = LOOK_AGAIN_MS): Promise<boolean> => {
     isInDoubt = true;
-    await waitMilliseconds(LOOK_AGAIN_MS);
+    await waitMilliseconds(afterMs);
     const report = await orders.readReport(server);
-    if (report === undefined) return false;
-    const loadingAdapters = report.loading.length;
-    adopt(report.models, report.orderCount);
-    doubtful = loadingAdapters;
+    if (report === undefined) {
+      // Nothing is known of the engine; the next order looks first.
+      orderCount = undefined;
+      isInDoubt = false;
+      return false;
+    }
+    adopt(report.models);
+    orderCount = report.orderCount;
+    doubtful = report.loading.length;
     isInDoubt = report.isBusy && loading === undefined;
     log.info(
       { server: server.id, orderCount, isBusy: report.isBusy, models: [...models.keys()] },
@@ -151,11 +162,11 @@
     models.get(chosen.model)?.adapters.delete(chosen.adapter);
     const outcome = await order('unload', chosen.model, chosen.adapter);
     if (outcome === OrderOutcome.held) {
-      orderCount += 1;
+      countOrder();
       return true;
     }
     // Accepted: runs still use it, and it keeps its place until they end.
-    if (outcome === OrderOutcome.accepted) orderCount += 1;
+    if (outcome === OrderOutcome.accepted) countOrder();
     if (outcome !== OrderOutcome.refused) await lookAgain();
     return false;
   };
@@ -173,7 +184,7 @@
     if (countAdapters() >= pool.adapterPlaces) return undefined;
     const outcome = await order('load', model, adapter);
     if (outcome === OrderOutcome.accepted || outcome === OrderOutcome.held) {
-      if (outcome === OrderOutcome.accepted) orderCount += 1;
+      if (outcome === OrderOutcome.accepted) countOrder();
       models.get(model)?.adapters.set(adapter, clock.monotonicMs());
       const transfer = ADAPTER_BASE_MS + ADAPTER_MS_PER_MB * (findSize(model)?.adapterMb ?? 0);
       return { server: server.id, readyInMs: outcome === OrderOutcome.held ? 0 : Math.ceil(transfer) };
@@ -192,7 +203,10 @@
       await waitMilliseconds(POLL_MS);
       const report = await orders.readReport(server);
       if (report === undefined) continue;
-      if (clock.monotonicMs() - lastOrderAtMs >= LOOK_AGAIN_MS) adopt(report.models, report.orderCount);
+      if (clock.monotonicMs() - lastOrderAtMs >= LOOK_AGAIN_MS) {
+        adopt(report.models);
+        orderCount = report.orderCount;
+      }
       if (isDone() && !report.isBusy) return true;
     }
     return false;
@@ -200,7 +214,7 @@
 
   const unloadModel = async (model: string): Promise<boolean> => {
     const outcome = await order('unload', model);
-    if (outcome === OrderOutcome.accepted) orderCount += 1;
+    if (outcome === OrderOutcome.accepted) countOrder();
     else if (outcome === OrderOutcome.refused) return false;
     else if (outcome !== OrderOutcome.held) await lookAgain();
     return waitForReport(() => !models.has(model), UNLOAD_MOST_MS);
@@ -210,7 +224,7 @@
     for (let tries = 0; tries < ADAPTER_TRIES; tries += 1) {
       const outcome = await order('load', model);
       if (outcome === OrderOutcome.accepted) {
-        orderCount += 1;
+        countOrder();
         const size = findSize(model);
         await waitForReport(() => models.has(model), (size?.loadMs ?? 0) + LOAD_SLACK_MS);
         return models.has(model);
@@ -226,9 +240,8 @@
   return {
     setServer: (next) => {
       server = next;
-      const isNewer = next.orderCount >= orderCount;
-      const isSettled = clock.monotonicMs() - lastOrderAtMs > LOOK_AGAIN_MS;
-      if (isNewer && isSettled && !isInDoubt) adopt(next.models, next.orderCount);
+      const isSettled = clock.monotonicMs() - lastOrderAtMs > ENTRY_NEWER_MS;
+      if (isSettled && !isInDoubt) adopt(next.models);
       else
         for (const { name } of next.models)
           if (!models.has(name) && name === loading) models.set(name, { adapters: new Map() });
--- a/src/serving/createServerBook.ts
+++ b/src/serving/createServerBook.ts
@@ -81,8 +81,8 @@
   lastBytesAtMs: number;
   oldestWaitAtMs: number;
   runMs: number;
-  /** Adapters that differ from what the leader last said. */
-  corrections: Map<string, boolean>;
+  /** Adapters that differ from what the leader last said, until they are known anew. */
+  corrections: Map<string, { isThere: boolean; untilMs: number }>;
   missingModels: Map<string, number>;
 }
 
@@ -92,6 +92,7 @@
 const AVOID_MOST_MS = 3000;
 const SILENT_MS = 900; // an engine in work sends some bytes every few tens of milliseconds
 const MISSING_MODEL_MS = 1500; // a report of the engine is newer by then
+const CORRECTION_MS = 2000; // an engine has said anew what it holds by then
 const FIRST_RUN_MS = 200;
 const RUN_WEIGHT = 0.1;
 const NO_LOAD: ServerLoad = { active: 0, backlogTokens: 0, heldTokens: 0 };
@@ -141,7 +142,7 @@
   const holdsAdapter = (entry: Entry, model: string, adapter: string): boolean => {
     const name = `${model}/${adapter}`;
     const corrected = entry.corrections.get(name);
-    if (corrected !== undefined) return corrected;
+    if (corrected !== undefined && corrected.untilMs > clock.monotonicMs()) return corrected.isThere;
     const known = adaptersByServer.get(entry.server.id);
     if (known !== undefined) return known.has(name);
     return entry.server.models.some(
@@ -190,11 +191,7 @@
       for (const [id, server] of servers) {
         const entry = entries.get(id);
         if (entry?.server.incarnation !== server.incarnation) entries.set(id, createEntry(server));
-        else {
-          if (entry.server.orderCount !== server.orderCount && !adaptersByServer.has(id))
-            entry.corrections.clear();
-          entry.server = server;
-        }
+        else entry.server = server;
       }
     },
     setConfiguration: (next) => {
@@ -243,7 +240,8 @@
       return entry !== undefined && holdsAdapter(entry, model, adapter);
     },
     recordAdapter: (id, model, adapter, isThere) => {
-      entries.get(id)?.corrections.set(`${model}/${adapter}`, isThere);
+      const untilMs = clock.monotonicMs() + CORRECTION_MS;
+      entries.get(id)?.corrections.set(`${model}/${adapter}`, { isThere, untilMs });
     },
     recordMissingModel: (id, model) => {
       entries.get(id)?.missingModels.set(model, clock.monotonicMs() + MISSING_MODEL_MS);
--- a/src/serving/leadFleet.ts
+++ b/src/serving/leadFleet.ts
@@ -45,6 +45,7 @@
 const MOST_LOADS_AT_ONCE = 3; // what the weight store of the smallest site gives full speed
 const CEILING_PART = 0.9; // the weight store counts the loads at other moments than this host
 const LOAD_BURST = 3;
+const SETTLE_MS = 3000; // all engines have written their entry by then
 const LEAST_DEMAND = 1; // work a second below which nobody is said to ask
 
 function computeAllowance(spent: readonly number[], loadsPerSecond: number, nowMs: number): boolean {
@@ -65,6 +66,7 @@
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
   let loadsAtMs: number[] = [];
+  let firstServerAtMs = Infinity;
   let isStopped = false;
 
   const listFresh = (): HostState[] => {
@@ -147,7 +149,8 @@
 
   const plan = async (): Promise<void> => {
     decayDemand();
-    if (configuration === undefined || isStopped || !(await options.ensureCommand())) return;
+    if (configuration === undefined || isStopped) return;
+    if (clock.monotonicMs() - firstServerAtMs < SETTLE_MS || !(await options.ensureCommand())) return;
     for (const service of configuration.services.values())
       if (service.engines !== undefined) planService(service.name, service.engines);
   };
@@ -191,6 +194,7 @@
     },
     setServers: (next) => {
       servers = next;
+      if (servers.size > 0) firstServerAtMs = Math.min(firstServerAtMs, clock.monotonicMs());
       updateRooms();
     },
     recordReport: (report) => {
