Look at an engine before deciding what fits into it

Change: a report is read first, a refused unload restores the adapter, a model load checks the room again right before its order.

--- a/src/serving/createEngineRoom.ts
+++ b/src/serving/createEngineRoom.ts
@@ -54,7 +54,7 @@
 const ANNOUNCE_MS = 350; // one round of the fleet's figures, after which no host sends to the copy
 const ADAPTER_BASE_MS = 4; // an adapter takes 5 to 9.7 ms for 12 to 66 MB
 const ADAPTER_MS_PER_MB = 0.09;
-const ADAPTER_TRIES = 2;
+const LOAD_TRIES = 3; // an order without an answer is sent again, so that the first can't count later
 
 function waitMilliseconds(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
@@ -91,7 +91,6 @@
         adapters: new Map(adapters.map((adapter) => [adapter, known?.get(adapter) ?? nowMs])),
       });
     }
-    if (loading !== undefined && models.has(loading)) loading = undefined;
     for (const model of leaving) if (!models.has(model)) leaving.delete(model);
     doubtful = 0;
   };
@@ -113,8 +112,8 @@
       log.warn({ server: server.id, action, model, adapter, fence }, 'order not sent, command unsure');
       return OrderOutcome.refused;
     }
-    if (orderCount === undefined && !(await lookAgain(0))) return OrderOutcome.refused;
-    const expectedCount = orderCount ?? 0;
+    const expectedCount = orderCount;
+    if (expectedCount === undefined) return OrderOutcome.refused;
     lastOrderAtMs = clock.monotonicMs();
     const outcome = await orders.send(server, { action, model, adapter, expectedCount, holder, fence });
     metrics.countOrder(action, outcome);
@@ -140,7 +139,9 @@
     adopt(report.models);
     orderCount = report.orderCount;
     doubtful = report.loading.length;
-    isInDoubt = report.isBusy && loading === undefined;
+    // An order of the holder before may still be carried out.
+    isInDoubt = report.isBusy && !isMoving;
+    if (isInDoubt) void enqueue(() => lookAgain());
     log.info(
       { server: server.id, orderCount, isBusy: report.isBusy, models: [...models.keys()] },
       'engine looked at again',
@@ -148,6 +149,12 @@
     return true;
   };
 
+  /** Makes sure that orders may be sent and that the engine's state is known, before anything is decided. */
+  const prepare = async (): Promise<boolean> => {
+    if (!(await ensureCommand())) return false;
+    return orderCount !== undefined || ((await lookAgain(0)) && !isInDoubt);
+  };
+
   const unloadVictim = async (): Promise<boolean> => {
     const held = [...models].flatMap(([model, { adapters }]) =>
       [...adapters].map(([adapter, wantedAtMs]) => {
@@ -161,17 +168,22 @@
     // From here on it counts as gone: nobody may be sent to it.
     models.get(chosen.model)?.adapters.delete(chosen.adapter);
     const outcome = await order('unload', chosen.model, chosen.adapter);
+    if (outcome === OrderOutcome.refused) {
+      models.get(chosen.model)?.adapters.set(chosen.adapter, chosen.wantedAtMs);
+      return false;
+    }
     if (outcome === OrderOutcome.held) {
       countOrder();
       return true;
     }
     // Accepted: runs still use it, and it keeps its place until they end.
     if (outcome === OrderOutcome.accepted) countOrder();
-    if (outcome !== OrderOutcome.refused) await lookAgain();
+    await lookAgain();
     return false;
   };
 
   const loadAdapter = async (model: string, adapter: string): Promise<AdapterGrant | undefined> => {
+    if (!(await prepare())) return undefined;
     const nowMs = clock.monotonicMs();
     const held = models.get(model);
     if (held === undefined || leaving.has(model)) return undefined;
@@ -191,12 +203,22 @@
     }
     if (outcome !== OrderOutcome.refused) {
       doubtful += 1;
-      void enqueue(lookAgain);
       isInDoubt = true;
+      void enqueue(() => lookAgain());
     }
     return undefined;
   };
 
+  /** Megabytes of the models that are there, and of room for adapters. */
+  const computeHeldMb = (held: Iterable<string>): number => {
+    const weights = [...held].reduce((sum, model) => sum + (findSize(model)?.weightsMb ?? 0), 0);
+    const largest = Math.max(0, ...pool.models.map(({ adapterMb }) => adapterMb));
+    return weights + largest * pool.adapterPlaces;
+  };
+
+  const hasRoomFor = (model: string): boolean =>
+    computeHeldMb(new Set([...models.keys(), model])) <= pool.weightsMb;
+
   const waitForReport = async (isDone: () => boolean, mostMs: number): Promise<boolean> => {
     const startedAtMs = clock.monotonicMs();
     while (clock.monotonicMs() - startedAtMs < mostMs) {
@@ -213,6 +235,7 @@
   };
 
   const unloadModel = async (model: string): Promise<boolean> => {
+    if (!(await prepare())) return false;
     const outcome = await order('unload', model);
     if (outcome === OrderOutcome.accepted) countOrder();
     else if (outcome === OrderOutcome.refused) return false;
@@ -221,7 +244,10 @@
   };
 
   const loadModel = async (model: string): Promise<boolean> => {
-    for (let tries = 0; tries < ADAPTER_TRIES; tries += 1) {
+    for (let tries = 0; tries < LOAD_TRIES; tries += 1) {
+      if (!(await prepare())) return false;
+      if (models.has(model)) return true;
+      if (!hasRoomFor(model)) return false;
       const outcome = await order('load', model);
       if (outcome === OrderOutcome.accepted) {
         countOrder();
@@ -232,7 +258,6 @@
       if (outcome === OrderOutcome.held || outcome === OrderOutcome.refused)
         return outcome === OrderOutcome.held;
       await lookAgain();
-      if (models.has(model)) return true;
     }
     return false;
   };
@@ -255,12 +280,8 @@
       [...models].flatMap(([model, { adapters }]) => [...adapters.keys()].map((adapter) => `${model}/${adapter}`)),
     listLeaving: () => [...leaving],
     getLoading: () => loading,
-    computeUsedMb: () => {
-      const held = new Set([...models.keys(), ...(loading === undefined ? [] : [loading])]);
-      const weights = [...held].reduce((sum, model) => sum + (findSize(model)?.weightsMb ?? 0), 0);
-      const largest = Math.max(0, ...pool.models.map(({ adapterMb }) => adapterMb));
-      return weights + largest * pool.adapterPlaces;
-    },
+    computeUsedMb: () =>
+      computeHeldMb(new Set([...models.keys(), ...(loading === undefined ? [] : [loading])])),
     isFree: () => loading === undefined && leaving.size === 0 && !isInDoubt && !server.isLeaving,
     takeAdapter: (model, adapter) => {
       const held = models.get(model);
