Keep one bucket an organisation at the holder of the command

Change: the holder keeps the buckets from the hosts' reports and tells the levels; a new host begins empty and earns its share. Ruled out: lag of the figures (within the slack).

--- a/src/serving/createFleetPart.ts
+++ b/src/serving/createFleetPart.ts
@@ -109,11 +109,11 @@
     loadingModels = new Set(view.loadingModels);
     repeats.setShare(view.hosts);
     rates.setFleet({
-      epoch: String(view.fence),
-      totals: new Map(Object.entries(view.admitted)),
+      levels: new Map(Object.entries(view.levels)),
       own: new Map(Object.entries(view.ownAdmitted)),
-      hosts: view.hosts,
+      shares: new Map(Object.entries(view.shares)),
     });
+    rates.setHosts(view.hosts);
   };
 
   const passConfiguration = (connection: FleetConnection): void => {
@@ -243,6 +243,7 @@
     listen: link.listen,
     setHosts: (hosts) => {
       link.setHosts(hosts);
+      if (!isPlacing()) rates.setHosts(hosts.length);
     },
     setFence: (fence) => {
       lead?.stop();
@@ -252,6 +253,7 @@
         lead = leadFleet({
           ...options,
           fence,
+          levels: rates.getLevels(),
           ensureCommand: () => options.membership().ensureCommand(),
         });
         if (configuration !== undefined) lead.setConfiguration(configuration);
--- a/src/serving/createOrganisationRates.ts
+++ b/src/serving/createOrganisationRates.ts
@@ -2,7 +2,17 @@
 import type { ServingOrganisation } from '../ports/serving.js';
 
 /** Outcome of charging a request to its organisation. */
-export type ChargeResult = { isWithin: true } | { isWithin: false; retryAfterMs: number };
+export type ChargeResult =
+  | { isWithin: true }
+  | {
+      isWithin: false;
+      retryAfterMs: number;
+      /** Tokens in the bucket, and the rate in force. */
+      level: number;
+      rate: number;
+      /** Age of the fleet's figures in milliseconds. */
+      fleetAgeMs: number;
+    };
 
 /** Keeps each organisation within its rate and burst over all hosts together. */
 export interface OrganisationRates {
@@ -11,18 +21,21 @@
   refund: (organisation: string, tokens: number) => void;
   /** Tokens that this host has admitted since its start, by organisation. */
   getAdmitted: () => Map<string, number>;
-  /** Takes what all hosts have admitted, counted by the leader since it began. */
-  setFleet: (fleet: FleetAdmissions) => void;
+  /** Levels of the buckets that this host has followed. */
+  getLevels: () => Map<string, number>;
+  /** Takes the fleet's buckets as the holder of the command keeps them. */
+  setFleet: (fleet: FleetLevels) => void;
+  /** Hosts among which rates are shared while nobody keeps the fleet's buckets. */
+  setHosts: (hosts: number) => void;
 }
 
-/** What the leader has counted of all hosts. */
-export interface FleetAdmissions {
-  /** Changes with each leader, as its count begins anew. */
-  epoch: string;
-  totals: ReadonlyMap<string, number>;
-  /** What this host had reported when the leader counted. */
+/** The fleet's buckets. */
+export interface FleetLevels {
+  levels: ReadonlyMap<string, number>;
+  /** What this host had reported as admitted when the levels were computed. */
   own: ReadonlyMap<string, number>;
-  hosts: number;
+  /** This host's part of what all hosts admitted lately. */
+  shares: ReadonlyMap<string, number>;
 }
 
 interface Account {
@@ -30,33 +43,31 @@
   atMs: number;
   rate: number;
   burst: number;
+  /** Tokens admitted since this host's start. */
   admitted: number;
-  /** Others' admissions that were already taken off. */
-  epoch: string;
-  othersTotal: number;
-  /** This host's part of what all hosts admitted lately. */
   share: number;
 }
 
 const FLEET_FRESH_MS = 1000; // a few rounds of the leader
-const SHARE_WEIGHT = 0.1; // the share follows the last ten rounds
+const UNKNOWN_HOSTS = 8; // the fleet's size is not known in the first moments of a host
 
 /**
- * Creates the rates of this host. While the leader is heard each host follows one bucket for the
- * fleet; without it a host refills by its own share, half of it even and half as it was used.
+ * Creates the rates of this host. While the holder of the command is heard each host follows one
+ * bucket for the fleet; without it a host refills by its own share, half of it even and half as it
+ * was used. A new host begins with an empty bucket, as others may have spent the burst.
  */
 export function createOrganisationRates(options: { clock: Clock }): OrganisationRates {
   const { clock } = options;
   const accounts = new Map<string, Account>();
+  const startedAtMs = clock.monotonicMs();
+  let fleet: FleetLevels | undefined;
   let fleetAtMs = -Infinity;
-  let hosts = 1;
+  let hosts = UNKNOWN_HOSTS;
 
   const isFleetHeard = (nowMs: number): boolean => nowMs - fleetAtMs <= FLEET_FRESH_MS;
 
-  const computeShare = (account: Account): number => 0.5 / hosts + 0.5 * account.share;
-
   const refill = (account: Account, nowMs: number): void => {
-    const part = isFleetHeard(nowMs) ? 1 : computeShare(account);
+    const part = isFleetHeard(nowMs) ? 1 : 0.5 / hosts + 0.5 * account.share;
     const added = (account.rate * part * (nowMs - account.atMs)) / 1000;
     account.level = Math.min(account.burst, account.level + added);
     account.atMs = nowMs;
@@ -65,9 +76,11 @@
   const findAccount = ({ name, rate, burst }: ServingOrganisation, nowMs: number): Account => {
     let account = accounts.get(name);
     if (account === undefined) {
-      const share = 1 / hosts;
-      const level = isFleetHeard(nowMs) ? burst : burst * share;
-      account = { level, atMs: nowMs, rate, burst, admitted: 0, epoch: '', othersTotal: 0, share };
+      const share = fleet?.shares.get(name) ?? 1 / hosts;
+      const known = fleet?.levels.get(name);
+      const earned = (rate * (nowMs - startedAtMs)) / 1000 / hosts;
+      const level = known ?? Math.min(burst / hosts, earned);
+      account = { level, atMs: nowMs, rate, burst, admitted: 0, share };
       accounts.set(name, account);
     }
     refill(account, nowMs);
@@ -80,12 +93,14 @@
   return {
     charge: (organisation, tokens) => {
       if (organisation.rate <= 0) return { isWithin: true };
-      const account = findAccount(organisation, clock.monotonicMs());
+      const nowMs = clock.monotonicMs();
+      const account = findAccount(organisation, nowMs);
       // A request above the whole burst waits for a full bucket, not for ever.
       const needed = Math.min(tokens, account.burst);
       if (account.level < needed) {
-        const missing = needed - account.level;
-        return { isWithin: false, retryAfterMs: (missing / account.rate) * 1000 };
+        const { level, rate } = account;
+        const retryAfterMs = ((needed - level) / rate) * 1000;
+        return { isWithin: false, retryAfterMs, level, rate, fleetAgeMs: nowMs - fleetAtMs };
       }
       account.level -= tokens;
       account.admitted += tokens;
@@ -98,23 +113,26 @@
       account.admitted -= tokens;
     },
     getAdmitted: () => new Map([...accounts].map(([name, { admitted }]) => [name, admitted])),
-    setFleet: (fleet) => {
+    getLevels: () => {
       const nowMs = clock.monotonicMs();
+      for (const account of accounts.values()) refill(account, nowMs);
+      return new Map([...accounts].map(([name, { level }]) => [name, level]));
+    },
+    setFleet: (next) => {
+      const nowMs = clock.monotonicMs();
+      fleet = next;
       for (const [name, account] of accounts) {
         refill(account, nowMs);
-        const total = fleet.totals.get(name) ?? 0;
-        const others = total - (fleet.own.get(name) ?? 0);
-        if (account.epoch === fleet.epoch) {
-          const added = Math.max(0, others - account.othersTotal);
-          account.level -= added;
-          if (total > 0)
-            account.share += SHARE_WEIGHT * (Math.min(1, (fleet.own.get(name) ?? 0) / total) - account.share);
-        }
-        account.epoch = fleet.epoch;
-        account.othersTotal = others;
+        const level = next.levels.get(name);
+        if (level === undefined) continue;
+        // What this host has admitted since its report is not in the fleet's level yet.
+        account.level = level - (account.admitted - (next.own.get(name) ?? 0));
+        account.share = next.shares.get(name) ?? account.share;
       }
-      hosts = Math.max(1, fleet.hosts);
       fleetAtMs = nowMs;
     },
+    setHosts: (count) => {
+      hosts = Math.max(1, count);
+    },
   };
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -30,7 +30,10 @@
     version: z.number(),
     hosts: z.number(),
     loads: z.record(z.string(), load),
-    admitted: totals,
+    /** Tokens in the fleet's bucket of each organisation. */
+    levels: totals,
+    /** Part of what all hosts admitted lately that the host that gets this view admitted. */
+    shares: totals,
     /** What the host that gets this view had reported. */
     ownLoads: z.record(z.string(), load),
     ownAdmitted: totals,
--- a/src/serving/leadFleet.ts
+++ b/src/serving/leadFleet.ts
@@ -4,6 +4,7 @@
 import type { Log } from '../ports/log.js';
 import type { ModelOrders } from '../ports/modelOrders.js';
 import type { BackendServer, EnginePool, ServingConfiguration } from '../ports/serving.js';
+import { createFleetBuckets } from './createFleetBuckets.js';
 import { createEngineRoom, type EngineRoom } from './createEngineRoom.js';
 import type { FleetReport, FleetView } from './fleetMessages.js';
 import type { ServingMetrics } from './servingMetrics.js';
@@ -18,6 +19,8 @@
   host: string;
   fence: number;
   ensureCommand: () => Promise<boolean>;
+  /** Levels of the organisations' buckets as this host followed them before. */
+  levels: ReadonlyMap<string, number>;
 }
 
 /** The work of the host that holds the command: figures of all hosts, adapters and copies. */
@@ -60,7 +63,7 @@
   const rooms = new Map<string, EngineRoom>();
   const incarnations = new Map<string, string>();
   const hosts = new Map<string, HostState>();
-  const totals = new Map<string, number>();
+  const buckets = createFleetBuckets({ clock, levels: options.levels });
   const demand = new Map<string, number>();
   let demandAtMs = clock.monotonicMs();
   let configuration: ServingConfiguration | undefined;
@@ -168,15 +171,6 @@
     return loads;
   };
 
-  const recordAdmitted = (report: FleetReport, before: FleetReport | undefined): void => {
-    const isSame = before?.incarnation === report.incarnation;
-    for (const [name, tokens] of Object.entries(report.admitted)) {
-      // What a host admitted before this host led is not counted: it is gone by in the buckets.
-      const known = isSame ? (before.admitted[name] ?? 0) : before === undefined ? tokens : 0;
-      totals.set(name, (totals.get(name) ?? 0) + Math.max(0, tokens - known));
-    }
-  };
-
   const listSuspects = (): string[] => {
     const fresh = listFresh();
     const votes = new Map<string, number>();
@@ -190,6 +184,7 @@
   return {
     setConfiguration: (next) => {
       configuration = next;
+      buckets.setOrganisations([...(next.organisationsByKey?.values() ?? [])]);
       updateRooms();
     },
     setServers: (next) => {
@@ -199,7 +194,7 @@
     },
     recordReport: (report) => {
       const known = hosts.get(report.host);
-      recordAdmitted(report, known?.report);
+      buckets.record(report, known?.report);
       for (const [key, work] of Object.entries(report.demand))
         demand.set(key, (demand.get(key) ?? 0) + work);
       hosts.set(report.host, { report, atMs: clock.monotonicMs(), told: known?.told ?? new Map() });
@@ -223,7 +218,7 @@
         version: configuration?.version ?? 0,
         hosts: hostCount,
         loads: sumLoads(),
-        admitted: Object.fromEntries(totals),
+        ...buckets.describe(host),
         ownLoads: state?.report.loads ?? {},
         ownAdmitted: state?.report.admitted ?? {},
         adapters,
--- a/src/serving/serveRequest.ts
+++ b/src/serving/serveRequest.ts
@@ -72,6 +72,7 @@
       sends: course.sends,
       attemptsRun: course.attemptsRun,
       elapsedMs: Math.round(elapsedMs),
+      target: status >= 500 ? request.target : undefined,
       version: context.getVersion(),
       ...inputs,
     },
@@ -79,12 +80,15 @@
   );
 }
 
+/** What decided a failure, for the log. */
+type FailureInputs = { retryAfterMs?: number } & Record<string, unknown>;
+
 /** Ends a request with an answer of the system's own; a started answer is cut instead. */
 function failRequest(
   course: Course,
   status: number,
   reason: string,
-  { retryAfterMs, ...inputs }: { retryAfterMs?: number; cause?: string; delayMs?: number } = {},
+  { retryAfterMs, ...inputs }: FailureInputs = {},
 ): void {
   const { reply } = course;
   logEnd(course, status, reason, { retryAfterMs, ...inputs });
@@ -283,7 +287,14 @@
   if (organisation !== undefined) {
     const charge = context.rates.charge(organisation, chargedTokens);
     if (!charge.isWithin) {
-      failRequest(course, 429, 'organisation is over its rate', { retryAfterMs: charge.retryAfterMs });
+      const { retryAfterMs, level, rate, fleetAgeMs } = charge;
+      failRequest(course, 429, 'organisation is over its rate', {
+        retryAfterMs,
+        tokens: chargedTokens,
+        level: Math.round(level),
+        rate,
+        fleetAgeMs: Math.round(fleetAgeMs),
+      });
       return;
     }
   }
