Let the holder of the command bring servers and configuration, refuse what comes too late

Change: hosts that hear the holder leave the store alone; a request is refused at once when the engine is further behind than its caller waits; slow servers are told by their first answers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,10 +5,10 @@
 const verbPattern = `^(${verbs.join('|')})([A-Z0-9].*)?$`;
 
 export default tseslint.config(
-  { ignores: ['dist/', 'dist-tools/', 'node_modules/'] },
+  { ignores: ['dist/', 'dist-tools/', 'node_modules/', 'target/'] },
   js.configs.recommended,
   {
-    files: ['src/**/*.ts', 'tests/**/*.ts', 'demo/**/*.ts', 'bench/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'tests/**/*.ts', 'demo/**/*.ts', 'bench/**/*.ts'],
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
     languageOptions: {
       parserOptions: {
--- a/src/adapters/log/createBoundedLog.ts
+++ b/src/adapters/log/createBoundedLog.ts
@@ -24,7 +24,8 @@
   const startWindow = (): void => {
     const nowMs = clock.monotonicMs();
     if (nowMs - startedAtMs < WINDOW_MS) return;
-    if (omitted > 0) log.warn({ omitted, sinceMs: Math.round(nowMs - startedAtMs) }, 'log lines left out');
+    if (omitted > 0)
+      log.warn({ omitted, sinceMs: Math.round(nowMs - startedAtMs) }, 'log lines left out');
     startedAtMs = nowMs;
     lines = 0;
     alerts = 0;
--- a/src/adapters/peer/test.ts
+++ b/src/adapters/peer/test.ts
@@ -24,7 +24,9 @@
 });
 
 t.test('refuses a frame over the limit and one that is no message', (t) => {
-  t.throws(() => createFrameReader(parsePeerMessage, 8)(encodeFrame(request)), { name: 'PeerProtocolError' });
+  t.throws(() => createFrameReader(parsePeerMessage, 8)(encodeFrame(request)), {
+    name: 'PeerProtocolError',
+  });
   const wrong = encodeFrame({ ...request, units: -1 });
   t.throws(() => createFrameReader(parsePeerMessage)(wrong), { name: 'PeerProtocolError' });
   const noise = Buffer.concat([Buffer.from([0, 0, 0, 3]), Buffer.from([255, 255, 255])]);
--- a/src/decisions/copies/planCopies/index.ts
+++ b/src/decisions/copies/planCopies/index.ts
@@ -44,7 +44,12 @@
 }
 
 /** Finds the copies that must leave an engine for a model to fit, those that are missed least. */
-function findRoom(plan: Plan, engine: CopyEngine, model: CopyModel, mayDropLast: boolean): Room | undefined {
+function findRoom(
+  plan: Plan,
+  engine: CopyEngine,
+  model: CopyModel,
+  mayDropLast: boolean,
+): Room | undefined {
   let free = engine.capacityMb - engine.usedMb;
   const unload: string[] = [];
   let loss = 0;
@@ -65,7 +70,11 @@
 }
 
 /** Chooses where one more copy of a model relieves the fleet most. */
-function chooseMove(plan: Plan, model: CopyModel, mayDropLast: boolean): (CopyMove & Room) | undefined {
+function chooseMove(
+  plan: Plan,
+  model: CopyModel,
+  mayDropLast: boolean,
+): (CopyMove & Room) | undefined {
   let best: (CopyMove & Room & { cost: number }) | undefined;
   for (const engine of plan.engines) {
     if (!engine.isFree || engine.models.includes(model.name)) continue;
--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -15,7 +15,8 @@
   request: RoutedRequest,
   keepsPrompt: boolean,
 ): number {
-  const { active, slots, backlogTokens, heldTokens, memoryTokens, failureShare } = candidate;
+  const { active, slots, backlogTokens, heldTokens, memoryTokens, failureShare, slowness } =
+    candidate;
   const missing = keepsPrompt ? 0 : request.sharedTokens;
   const reading = (backlogTokens + missing + request.ownTokens) / PROMPT_TOKENS_PER_MS;
   const batch = FULL_BATCH_MS * Math.min(1, active / slots) * (memoryTokens > 0 ? 1 : 0);
@@ -28,8 +29,7 @@
   const adapter = candidate.holdsAdapter ? 0 : ADAPTER_MS;
   const failures = FAILED_MS * failureShare ** 2;
   return (
-    (memoryTokens > 0 ? reading : 0) +
-    batch +
+    slowness * ((memoryTokens > 0 ? reading : 0) + batch) +
     queued +
     memory +
     adapter +
@@ -52,12 +52,16 @@
     .map((candidate) => ({
       candidate,
       delayMs: estimateDelay(candidate, request, candidate === preferred),
+      unreadTokens: request.ownTokens + (candidate === preferred ? 0 : request.sharedTokens),
       // Equal servers are taken in a random order, or all hosts would choose the same one.
       order: random(),
       load: candidate.active / candidate.slots,
     }))
-    .sort((one, other) => one.delayMs - other.delayMs || one.load - other.load || one.order - other.order)
-    .map(({ candidate, delayMs }) => ({ candidate, delayMs }));
+    .sort(
+      (one, other) =>
+        one.delayMs - other.delayMs || one.load - other.load || one.order - other.order,
+    )
+    .map(({ candidate, delayMs, unreadTokens }) => ({ candidate, delayMs, unreadTokens }));
 }
 
 function findPreferred(
--- a/src/decisions/serving/types.ts
+++ b/src/decisions/serving/types.ts
@@ -19,6 +19,8 @@
   failureShare: number;
   /** Typical time of a request in milliseconds. */
   runMs: number;
+  /** How many times longer than estimated its first answers take. */
+  slowness: number;
 }
 
 /** What routing needs to know of a request. */
@@ -35,4 +37,6 @@
 export interface RankedServer {
   candidate: ServerCandidate;
   delayMs: number;
+  /** Prompt tokens that the server would have to read. */
+  unreadTokens: number;
 }
--- a/src/programs/fleetEntry/startFleetEntry.ts
+++ b/src/programs/fleetEntry/startFleetEntry.ts
@@ -69,7 +69,7 @@
   stop: () => Promise<void>;
 }
 
-const LEASE_TTL_MS = 3000; // a dead host is known within it; renewed three times a term
+const LEASE_TTL_MS = 2000; // nobody orders engines until a dead holder's lease has ended
 const CONFIGURATION_WAIT_MS = 2000; // a silent connection is noticed within the bound for new versions
 const CONFIGURATION_PAUSE_MS = 100;
 const UNSEEN_MS = 2500; // the balancer asks each second and takes a host out after two misses
@@ -99,13 +99,19 @@
     try {
       const next = options.configuration.decode(value);
       if (next.version <= (configuration?.version ?? -1)) return;
-      log.info({ version: next.version, before: configuration?.version, source }, 'configuration in force');
+      log.info(
+        { version: next.version, before: configuration?.version, source },
+        'configuration in force',
+      );
       configuration = next;
       book.setConfiguration(next);
       part.setConfiguration(next, value);
       callers.setConfiguration(next);
     } catch (error) {
-      log.error({ source, version: configuration?.version, error: formatError(error).slice(0, 500) }, 'configuration can not be read, the last one stays');
+      log.error(
+        { source, version: configuration?.version, error: formatError(error).slice(0, 500) },
+        'configuration can not be read, the last one stays',
+      );
     }
   };
 
@@ -121,6 +127,7 @@
     incarnation,
     membership: (): Membership => membership,
     onConfiguration: (value) => takeConfiguration(Buffer.from(value), 'peer'),
+    onServers: (changed, removed) => servers.feed(changed, removed),
   });
   const context: ServingContext = {
     clock,
@@ -137,7 +144,10 @@
   };
   const callers = options.createCallers((request, reply) => {
     serveRequest(context, request, reply).catch((error: unknown) => {
-      log.error({ requestId: request.id, error: formatError(error) }, 'request failed unexpectedly');
+      log.error(
+        { requestId: request.id, error: formatError(error) },
+        'request failed unexpectedly',
+      );
       reply.cut();
     });
   });
@@ -154,6 +164,8 @@
     ttlMs: LEASE_TTL_MS,
     handoverMs: bounds.leaseMs,
     signal,
+    isFed: part.isFed,
+    onAnswer: () => part.recordAnswer('fleet'),
     onHosts: part.setHosts,
     onCommand: part.setFence,
   });
@@ -170,23 +182,28 @@
     },
     onChanges: (changes) => {
       for (const { key, value } of changes)
-        if (key === options.configuration.key && value !== undefined) takeConfiguration(value, 'store');
+        if (key === options.configuration.key && value !== undefined)
+          takeConfiguration(value, 'store');
     },
     onReachable: () => undefined,
+    onAnswer: () => part.recordAnswer('configuration'),
+    isFed: part.isFed,
   });
-  void followServers({
+  const servers = followServers({
     store,
     prefix: options.servers.prefix,
     clock,
     log,
     signal,
     decode: options.servers.decode,
-    onServers: (servers) => {
+    onServers: (known) => {
       hasServers = true;
-      book.setServers(servers);
-      part.setServers(servers);
-      options.backends.keepOnly(new Set([...servers.values()].map((server) => server.incarnation)));
+      book.setServers(known);
+      part.setServers(known);
+      options.backends.keepOnly(new Set([...known.values()].map(({ incarnation: id }) => id)));
     },
+    onAnswer: () => part.recordAnswer('servers'),
+    isFed: part.isFed,
   });
   log.info({ incarnation, address: options.address, peerPort: options.peerPort }, 'started');
 
@@ -206,7 +223,10 @@
     part.close();
     options.backends.close();
     await store.close();
-    log.info({ active: callers.countActive(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) }, 'planned stop done');
+    log.info(
+      { active: callers.countActive(), tookMs: Math.round(clock.monotonicMs() - startedAtMs) },
+      'planned stop done',
+    );
   };
   return { isReady: () => !isStopping && configuration !== undefined && hasServers, stop };
 }
--- a/src/serving/createEngineRoom.ts
+++ b/src/serving/createEngineRoom.ts
@@ -109,15 +109,28 @@
     adapter?: string,
   ): Promise<OrderOutcome> => {
     if (!(await ensureCommand())) {
-      log.warn({ server: server.id, action, model, adapter, fence }, 'order not sent, command unsure');
+      log.warn(
+        { server: server.id, action, model, adapter, fence },
+        'order not sent, command unsure',
+      );
       return OrderOutcome.refused;
     }
     const expectedCount = orderCount;
     if (expectedCount === undefined) return OrderOutcome.refused;
     lastOrderAtMs = clock.monotonicMs();
-    const outcome = await orders.send(server, { action, model, adapter, expectedCount, holder, fence });
+    const outcome = await orders.send(server, {
+      action,
+      model,
+      adapter,
+      expectedCount,
+      holder,
+      fence,
+    });
     metrics.countOrder(action, outcome);
-    log.info({ server: server.id, action, model, adapter, expectedCount, fence, outcome }, 'order sent');
+    log.info(
+      { server: server.id, action, model, adapter, expectedCount, fence, outcome },
+      'order sent',
+    );
     return outcome;
   };
 
@@ -199,7 +212,10 @@
       if (outcome === OrderOutcome.accepted) countOrder();
       models.get(model)?.adapters.set(adapter, clock.monotonicMs());
       const transfer = ADAPTER_BASE_MS + ADAPTER_MS_PER_MB * (findSize(model)?.adapterMb ?? 0);
-      return { server: server.id, readyInMs: outcome === OrderOutcome.held ? 0 : Math.ceil(transfer) };
+      return {
+        server: server.id,
+        readyInMs: outcome === OrderOutcome.held ? 0 : Math.ceil(transfer),
+      };
     }
     if (outcome !== OrderOutcome.refused) {
       doubtful += 1;
@@ -277,7 +293,9 @@
     getServer: () => server,
     listModels: () => [...models.keys()].filter((model) => !leaving.has(model)),
     listAdapters: () =>
-      [...models].flatMap(([model, { adapters }]) => [...adapters.keys()].map((adapter) => `${model}/${adapter}`)),
+      [...models].flatMap(([model, { adapters }]) =>
+        [...adapters.keys()].map((adapter) => `${model}/${adapter}`),
+      ),
     listLeaving: () => [...leaving],
     getLoading: () => loading,
     computeUsedMb: () =>
@@ -304,8 +322,7 @@
       try {
         if (unload.length > 0) await waitMilliseconds(ANNOUNCE_MS);
         isMoving = true;
-        for (const model of unload)
-          if (!(await enqueue(() => unloadModel(model)))) return false;
+        for (const model of unload) if (!(await enqueue(() => unloadModel(model)))) return false;
         return await enqueue(() => loadModel(load));
       } finally {
         loading = undefined;
--- a/src/serving/createFleetBuckets.ts
+++ b/src/serving/createFleetBuckets.ts
@@ -42,7 +42,9 @@
 
   const computeShare = (bucket: Bucket, host: string): number => {
     const total = [...bucket.admitted.values()].reduce((sum, tokens) => sum + tokens, 0);
-    return total > 0 ? (bucket.admitted.get(host) ?? 0) / total : 1 / Math.max(1, bucket.admitted.size);
+    return total > 0
+      ? (bucket.admitted.get(host) ?? 0) / total
+      : 1 / Math.max(1, bucket.admitted.size);
   };
 
   return {
--- a/src/serving/createFleetPart.ts
+++ b/src/serving/createFleetPart.ts
@@ -21,6 +21,10 @@
   setConfiguration: (configuration: ServingConfiguration, value: Buffer) => void;
   setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
   recordUse: (server: string, adapter: string, change: 1 | -1) => void;
+  /** Whether another host holds the command, hears the store and is heard. */
+  isFed: () => boolean;
+  /** Notes that the store answered one of the watches. */
+  recordAnswer: (watch: string) => void;
   close: () => void;
 }
 
@@ -38,14 +42,19 @@
   membership: () => Membership;
   /** Takes a configuration that a peer has passed on. */
   onConfiguration: (value: Uint8Array) => void;
+  /** Takes servers that the holder of the command has seen. */
+  onServers: (changed: readonly BackendServer[], removed: readonly string[]) => void;
 }
 
 const ROUND_MS = 200; // figures older than that misplace a burst; see docs/platform.md
 const GRANT_MS = 700; // an order, one look again at the engine, and two messages
 const VIEW_FRESH_MS = 1500; // several rounds; later nobody is taken to place models
+const FED_FRESH_MS = 700; // three rounds; then this host watches the store itself
+const WATCHES = 3; // configuration, servers, fleet
+const CURRENT_MS = 3000; // the longest wait of a watch, and a little
 const MODEL_POLL_MS = 40; // below the shortest objective by far
 
-function subtractLoads(view: FleetView): Map<string, ServerLoad> {
+function computeOthers(view: FleetView): Map<string, ServerLoad> {
   return new Map(
     Object.entries(view.loads).map(([server, [active, backlog, held]]) => {
       const own = view.ownLoads[server] ?? [0, 0, 0];
@@ -69,7 +78,9 @@
   let configurationValue: Buffer | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
   let viewAtMs = -Infinity;
+  let isHolderCurrent = false;
   let loadingModels = new Set<string>();
+  const answersAtMs = new Map<string, number>();
   const demand = new Map<string, number>();
   const uses = new Map<string, number>();
   const connections = new Map<string, FleetConnection>();
@@ -100,13 +111,18 @@
 
   const applyView = (view: FleetView): void => {
     viewAtMs = clock.monotonicMs();
-    book.setOthers(subtractLoads(view));
+    book.setOthers(computeOthers(view));
     book.setAdapters(
       new Map(Object.entries(view.adapters).map(([server, list]) => [server, new Set(list)])),
     );
     book.setLeavingModels(new Set(view.leavingModels));
     book.setSuspects(new Set(view.suspects));
     loadingModels = new Set(view.loadingModels);
+    if (lead === undefined) {
+      isHolderCurrent = view.isCurrent;
+      if (view.servers.length + view.removed.length > 0)
+        options.onServers(view.servers, view.removed);
+    }
     repeats.setShare(view.hosts);
     rates.setFleet({
       levels: new Map(Object.entries(view.levels)),
@@ -178,6 +194,13 @@
   const countHosts = (): number =>
     Math.max(1, connections.size + 1, options.membership().listHosts().length);
 
+  /** Tells whether all watches of the store were answered lately. */
+  const isCurrent = (): boolean => {
+    const sinceMs = clock.monotonicMs() - CURRENT_MS;
+    const answered = [...answersAtMs.values()].filter((atMs) => atMs > sinceMs);
+    return answered.length === WATCHES;
+  };
+
   const runRound = (): void => {
     const report = buildReport();
     if (lead === undefined) {
@@ -187,8 +210,10 @@
     }
     lead.recordReport(report);
     const hosts = countHosts();
-    for (const [name, connection] of connections) connection.send(lead.buildView(name, hosts));
-    applyView(lead.buildView(host, hosts));
+    const current = isCurrent();
+    for (const [name, connection] of connections)
+      connection.send(lead.buildView(name, hosts, current));
+    applyView(lead.buildView(host, hosts, current));
   };
   const rounds = setInterval(runRound, ROUND_MS);
 
@@ -249,6 +274,7 @@
       lead?.stop();
       lead = undefined;
       options.metrics.setLeading(fence !== undefined);
+      answersAtMs.clear();
       if (fence !== undefined) {
         lead = leadFleet({
           ...options,
@@ -277,6 +303,11 @@
       if (count > 0) uses.set(key, count);
       else uses.delete(key);
     },
+    isFed: () =>
+      lead === undefined && isHolderCurrent && clock.monotonicMs() - viewAtMs < FED_FRESH_MS,
+    recordAnswer: (watch) => {
+      answersAtMs.set(watch, clock.monotonicMs());
+    },
     close: () => {
       clearInterval(rounds);
       lead?.stop();
--- a/src/serving/createServerBook.ts
+++ b/src/serving/createServerBook.ts
@@ -14,6 +14,8 @@
 export interface RequestWeight {
   backlogTokens: number;
   heldTokens: number;
+  /** Milliseconds until the first bytes, as estimated. */
+  delayMs: number;
 }
 
 /** A request's place on a server; each step is to be told once. */
@@ -81,6 +83,7 @@
   lastBytesAtMs: number;
   oldestWaitAtMs: number;
   runMs: number;
+  slowness: number;
   /** Adapters that differ from what the leader last said, until they are known anew. */
   corrections: Map<string, { isThere: boolean; untilMs: number }>;
   missingModels: Map<string, number>;
@@ -95,6 +98,10 @@
 const CORRECTION_MS = 2000; // an engine has said anew what it holds by then
 const FIRST_RUN_MS = 200;
 const RUN_WEIGHT = 0.1;
+const SLOWNESS_WEIGHT = 0.1; // some ten answers tell a slow server from an unlucky request
+const LEAST_SLOWNESS = 0.3; // the fastest model takes a third of the slowest one's time
+const MOST_SLOWNESS = 8; // what a server in trouble is known to take
+const LEAST_DELAY_MS = 40; // way there and back, and one step of a batch
 const NO_LOAD: ServerLoad = { active: 0, backlogTokens: 0, heldTokens: 0 };
 
 /** Creates the book of servers of this host. */
@@ -122,6 +129,7 @@
     lastBytesAtMs: 0,
     oldestWaitAtMs: Infinity,
     runMs: FIRST_RUN_MS,
+    slowness: 1,
     corrections: new Map(),
     missingModels: new Map(),
   });
@@ -142,7 +150,8 @@
   const holdsAdapter = (entry: Entry, model: string, adapter: string): boolean => {
     const name = `${model}/${adapter}`;
     const corrected = entry.corrections.get(name);
-    if (corrected !== undefined && corrected.untilMs > clock.monotonicMs()) return corrected.isThere;
+    if (corrected !== undefined && corrected.untilMs > clock.monotonicMs())
+      return corrected.isThere;
     const known = adaptersByServer.get(entry.server.id);
     if (known !== undefined) return known.has(name);
     return entry.server.models.some(
@@ -150,7 +159,11 @@
     );
   };
 
-  const toCandidate = (entry: Entry, request: ListCandidatesOptions, nowMs: number): ServerCandidate => {
+  const toCandidate = (
+    entry: Entry,
+    request: ListCandidatesOptions,
+    nowMs: number,
+  ): ServerCandidate => {
     const { server, load } = entry;
     const engines = configuration?.services.get(server.service)?.engines;
     return {
@@ -167,6 +180,7 @@
       isNear: server.dataCentre === dataCentre,
       failureShare: computeFailureShare(entry, nowMs),
       runMs: entry.runMs,
+      slowness: entry.slowness,
     };
   };
 
@@ -180,7 +194,11 @@
     if (outcome !== PlaceOutcome.unreachable) return;
     entry.avoidUntilMs = nowMs + Math.min(AVOID_MOST_MS, AVOID_MS * 2 ** (entry.streak - 1));
     log.warn(
-      { server: entry.server.id, streak: entry.streak, avoidMs: Math.round(entry.avoidUntilMs - nowMs) },
+      {
+        server: entry.server.id,
+        streak: entry.streak,
+        avoidMs: Math.round(entry.avoidUntilMs - nowMs),
+      },
       'server not reached, avoided',
     );
   };
@@ -246,11 +264,15 @@
     recordMissingModel: (id, model) => {
       entries.get(id)?.missingModels.set(model, clock.monotonicMs() + MISSING_MODEL_MS);
     },
-    takePlace: (id, { backlogTokens, heldTokens }) => {
+    takePlace: (id, { backlogTokens, heldTokens, delayMs }) => {
       const entry = entries.get(id);
       const startedAtMs = clock.monotonicMs();
       if (entry === undefined)
-        return { recordBytes: () => undefined, recordFirstBytes: () => undefined, release: () => undefined };
+        return {
+          recordBytes: () => undefined,
+          recordFirstBytes: () => undefined,
+          release: () => undefined,
+        };
       const { load } = entry;
       if (load.active === 0) entry.oldestWaitAtMs = startedAtMs;
       load.active += 1;
@@ -269,6 +291,9 @@
         recordFirstBytes: () => {
           entry.lastBytesAtMs = clock.monotonicMs();
           endWait();
+          const ratio = (entry.lastBytesAtMs - startedAtMs) / Math.max(LEAST_DELAY_MS, delayMs);
+          const bounded = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio * entry.slowness));
+          entry.slowness += SLOWNESS_WEIGHT * (bounded - entry.slowness);
         },
         release: (outcome) => {
           const nowMs = clock.monotonicMs();
@@ -284,10 +309,14 @@
       };
     },
     getOwnLoads: () =>
-      new Map([...entries].filter(([, { load }]) => load.active > 0).map(([id, { load }]) => [id, load])),
+      new Map(
+        [...entries].filter(([, { load }]) => load.active > 0).map(([id, { load }]) => [id, load]),
+      ),
     listSilent: () => {
       const nowMs = clock.monotonicMs();
-      return [...entries.values()].filter((entry) => isSilent(entry, nowMs)).map(({ server }) => server.id);
+      return [...entries.values()]
+        .filter((entry) => isSilent(entry, nowMs))
+        .map(({ server }) => server.id);
     },
   };
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -2,6 +2,17 @@
 
 const name = z.string().max(256);
 const load = z.tuple([z.number(), z.number(), z.number()]);
+const server = z.object({
+  id: name,
+  service: name,
+  address: name,
+  port: z.number(),
+  dataCentre: name,
+  slots: z.number(),
+  isLeaving: z.boolean(),
+  models: z.array(z.object({ name, adapters: z.array(name) })),
+  incarnation: name,
+});
 const totals = z.record(z.string(), z.number());
 
 const fleetMessage = z.discriminatedUnion('type', [
@@ -44,6 +55,11 @@
     /** Models that some engine is loading, as `SERVICE/MODEL`. */
     loadingModels: z.array(z.string()),
     suspects: z.array(name),
+    /** Whether the sender hears the store, so that its hosts need not watch it. */
+    isCurrent: z.boolean(),
+    /** Servers that changed since the last view, and those that are gone. */
+    servers: z.array(server),
+    removed: z.array(name),
   }),
   z.object({
     type: z.literal('wish'),
--- a/src/serving/followPrefix.ts
+++ b/src/serving/followPrefix.ts
@@ -19,11 +19,19 @@
   onChanges: (changes: StoreChange[]) => void;
   /** The store was lost, or is back. */
   onReachable: (isReachable: boolean) => void;
+  /** Called with each answer of the store. */
+  onAnswer?: () => void;
+  /** While true somebody else brings the changes, and the store is left alone. */
+  isFed?: () => boolean;
 }
 
+const FED_POLL_MS = 100; // half a round of the fleet's figures
 const RETRY_MS = 300; // calls to a store that is away are paid too
 
-async function listAll(store: FleetStore, prefix: string): Promise<{ items: StoreItem[]; revision: number }> {
+async function listAll(
+  store: FleetStore,
+  prefix: string,
+): Promise<{ items: StoreItem[]; revision: number }> {
   const first = await store.list(prefix);
   const items = [...first.items];
   let page = first;
@@ -48,15 +56,22 @@
     onReachable(next);
   };
   while (!isAborted(signal)) {
+    if (options.isFed?.() === true) {
+      revision = undefined;
+      await wait(FED_POLL_MS, undefined, { signal }).catch(() => undefined);
+      continue;
+    }
     try {
       if (revision === undefined) {
         const listed = await listAll(store, prefix);
         revision = listed.revision;
         setReachable(true);
+        options.onAnswer?.();
         onItems(listed.items);
       }
       const seen = await store.watch(prefix, revision, waitMs, signal);
       setReachable(true);
+      options.onAnswer?.();
       if (seen === undefined) {
         log.warn({ prefix, revision }, 'history of the store is gone, listing anew');
         revision = undefined;
--- a/src/serving/followServers.ts
+++ b/src/serving/followServers.ts
@@ -15,6 +15,15 @@
   /** Throws when an entry names no server that can be used. */
   decode: (id: string, value: Buffer) => BackendServer;
   onServers: (servers: ReadonlyMap<string, BackendServer>) => void;
+  onAnswer: () => void;
+  /** While true the holder of the command brings the servers. */
+  isFed: () => boolean;
+}
+
+/** The followed servers. */
+export interface FollowedServers {
+  /** Takes what the holder of the command has seen of some servers. */
+  feed: (changed: readonly BackendServer[], removed: readonly string[]) => void;
 }
 
 const WATCH_WAIT_MS = 2500; // a silent connection is noticed within the bound for leaving servers
@@ -23,7 +32,7 @@
 export const LAPSE_MS = 2000;
 
 /** Follows the entries of backend servers; entries that lapse around an outage stay until they can be back. */
-export function followServers(options: FollowServersOptions): Promise<void> {
+export function followServers(options: FollowServersOptions): FollowedServers {
   const { store, prefix, clock, log, signal, decode, onServers } = options;
   const servers = new Map<string, BackendServer>();
   /** Servers whose entry went while the store was away, or just after. */
@@ -31,30 +40,34 @@
   let reachableSinceMs = -Infinity;
   let wasLost = false;
 
-  const isAfterOutage = (): boolean =>
-    wasLost && clock.monotonicMs() - reachableSinceMs < LAPSE_MS;
+  const isAfterOutage = (): boolean => wasLost && clock.monotonicMs() - reachableSinceMs < LAPSE_MS;
+
+  const setServer = (server: BackendServer, revision: number, source: string): void => {
+    const { id, service, incarnation } = server;
+    const known = servers.get(id);
+    if (known?.incarnation !== incarnation)
+      log.info({ server: id, revision, source, service, incarnation }, 'server is new');
+    else if (server.isLeaving && !known.isLeaving)
+      log.info({ server: id, revision, source }, 'server is leaving');
+    servers.set(id, server);
+  };
 
   const apply = ({ key, value, revision }: StoreChange): void => {
     const id = key.slice(prefix.length);
     lapsed.delete(id);
     if (value === undefined) {
       if (isAfterOutage()) lapsed.add(id);
-      else {
-        servers.delete(id);
-        log.info({ server: id, revision }, 'server is gone');
-      }
+      else if (servers.delete(id)) log.info({ server: id, revision }, 'server is gone');
       return;
     }
     try {
-      const server = decode(id, value);
-      const known = servers.get(id);
-      if (known === undefined || known.incarnation !== server.incarnation)
-        log.info({ server: id, revision, service: server.service, incarnation: server.incarnation }, 'server is new');
-      else if (server.isLeaving && !known.isLeaving) log.info({ server: id, revision }, 'server is leaving');
-      servers.set(id, server);
+      setServer(decode(id, value), revision, 'store');
     } catch (error) {
       servers.delete(id);
-      log.warn({ key, revision, error: formatError(error).slice(0, 200) }, 'an entry names no server, ignored');
+      log.warn(
+        { key, revision, error: formatError(error).slice(0, 200) },
+        'an entry names no server, ignored',
+      );
     }
   };
 
@@ -70,7 +83,7 @@
   const timer = setInterval(dropLapsed, WATCH_PAUSE_MS);
   signal.addEventListener('abort', () => clearInterval(timer), { once: true });
 
-  return followPrefix({
+  void followPrefix({
     store,
     prefix,
     log,
@@ -92,5 +105,15 @@
       if (isReachable) reachableSinceMs = clock.monotonicMs();
       else wasLost = true;
     },
+    onAnswer: options.onAnswer,
+    isFed: options.isFed,
   });
+  return {
+    feed: (changed, removed) => {
+      for (const server of changed) setServer(server, 0, 'peer');
+      for (const id of removed)
+        if (servers.delete(id)) log.info({ server: id, source: 'peer' }, 'server is gone');
+      onServers(servers);
+    },
+  };
 }
--- a/src/serving/keepMembership.ts
+++ b/src/serving/keepMembership.ts
@@ -3,7 +3,12 @@
 import { isHolderSure, type HeldLease } from '../decisions/command/isHolderSure/index.js';
 import { formatError } from '../errors/index.js';
 import type { Clock } from '../ports/clock.js';
-import { TransactionResult, type FleetStore, type StoreChange, type StoreItem } from '../ports/fleetStore.js';
+import {
+  TransactionResult,
+  type FleetStore,
+  type StoreChange,
+  type StoreItem,
+} from '../ports/fleetStore.js';
 import type { Log } from '../ports/log.js';
 import { followPrefix } from './followPrefix.js';
 
@@ -45,6 +50,9 @@
   /** Time in which two holders must not take turns. */
   handoverMs: number;
   signal: AbortSignal;
+  /** While true the holder of the command is heard, so that the store need not be watched. */
+  isFed: () => boolean;
+  onAnswer: () => void;
   onHosts: (hosts: FleetHost[]) => void;
   onCommand: (fence: number | undefined) => void;
 }
@@ -52,7 +60,7 @@
 const WATCH_WAIT_MS = 2500; // below the time in which a silent connection must be noticed
 const WATCH_PAUSE_MS = 200;
 const TICK_MS = 100; // four ticks within the longest gap that is taken for running
-const RENEWALS_A_TERM = 3; // two lost renewals are survived
+const RENEWALS_A_TERM = 4; // two lost renewals are survived, and the margin for orders is kept
 const CONTEND_MS = 250; // spreads the hosts that try to take the command
 
 interface Known {
@@ -81,7 +89,11 @@
     known.command =
       parsed === undefined
         ? undefined
-        : { holder: String(parsed['holder']), incarnation: String(parsed['incarnation']), revision };
+        : {
+            holder: String(parsed['holder']),
+            incarnation: String(parsed['incarnation']),
+            revision,
+          };
   } else if (key === LAST_HOLDER_KEY) {
     known.lastHolder = String(parsed?.['holder'] ?? '');
     known.lastHolderRevision = revision;
@@ -127,7 +139,10 @@
   const setFence = (next: number | undefined): void => {
     if (fence === next) return;
     fence = next;
-    log.info({ fence, lastHolder: known.lastHolder }, next === undefined ? 'command lost' : 'command taken');
+    log.info(
+      { fence, lastHolder: known.lastHolder },
+      next === undefined ? 'command lost' : 'command taken',
+    );
     options.onCommand(next);
   };
 
@@ -159,7 +174,10 @@
     const renewedAtWallMs = clock.wallMs();
     const isAlive = await store.renewLease(current.id);
     if (!isAlive) {
-      log.warn({ lease: current.id, ageMs: Math.round(renewedAtMs - current.renewedAtMs) }, 'lease ended');
+      log.warn(
+        { lease: current.id, ageMs: Math.round(renewedAtMs - current.renewedAtMs) },
+        'lease ended',
+      );
       if (lease === current) loseLease();
       return false;
     }
@@ -261,6 +279,8 @@
     },
     onChanges: applyChanges,
     onReachable: () => undefined,
+    onAnswer: options.onAnswer,
+    isFed: options.isFed,
   });
 
   return {
--- a/src/serving/leadFleet.ts
+++ b/src/serving/leadFleet.ts
@@ -30,7 +30,7 @@
   recordReport: (report: FleetReport) => void;
   dropHost: (host: string) => void;
   /** Builds what one host is told; it is told of each engine's adapters when they changed. */
-  buildView: (host: string, hosts: number) => FleetView;
+  buildView: (host: string, hosts: number, isCurrent: boolean) => FleetView;
   grantAdapter: (wish: AdapterWish) => Promise<AdapterGrant | undefined>;
   stop: () => void;
 }
@@ -40,6 +40,8 @@
   atMs: number;
   /** Adapters of each engine that the host was told last. */
   told: Map<string, string>;
+  /** Servers that the host was told last. */
+  toldServers: Map<string, BackendServer>;
 }
 
 const PLAN_MS = 300; // a few plans within the time of one load
@@ -51,12 +53,20 @@
 const SETTLE_MS = 3000; // all engines have written their entry by then
 const LEAST_DEMAND = 1; // work a second below which nobody is said to ask
 
-function computeAllowance(spent: readonly number[], loadsPerSecond: number, nowMs: number): boolean {
+function computeAllowance(
+  spent: readonly number[],
+  loadsPerSecond: number,
+  nowMs: number,
+): boolean {
   const windowMs = 5000;
   const recent = spent.filter((atMs) => nowMs - atMs < windowMs).length;
   return recent + 1 <= CEILING_PART * loadsPerSecond * (windowMs / 1000) + LOAD_BURST - 1;
 }
 
+function isSameServer(told: BackendServer | undefined, server: BackendServer): boolean {
+  return told === server || (told !== undefined && JSON.stringify(told) === JSON.stringify(server));
+}
+
 /** Starts leading the fleet under one fence. */
 export function leadFleet(options: LeadFleetOptions): FleetLead {
   const { clock, log, fence } = options;
@@ -145,7 +155,10 @@
       .get(move.engine)
       ?.moveCopy(move.load, move.unload)
       .then((isDone) =>
-        log.info({ ...move, fence, tookMs: Math.round(clock.monotonicMs() - nowMs) }, isDone ? 'copy loaded' : 'copy not loaded'),
+        log.info(
+          { ...move, fence, tookMs: Math.round(clock.monotonicMs() - nowMs) },
+          isDone ? 'copy loaded' : 'copy not loaded',
+        ),
       )
       .catch((error: unknown) => log.error({ ...move, error: String(error) }, 'copy failed'));
   };
@@ -153,7 +166,8 @@
   const plan = async (): Promise<void> => {
     decayDemand();
     if (configuration === undefined || isStopped) return;
-    if (clock.monotonicMs() - firstServerAtMs < SETTLE_MS || !(await options.ensureCommand())) return;
+    if (clock.monotonicMs() - firstServerAtMs < SETTLE_MS || !(await options.ensureCommand()))
+      return;
     for (const service of configuration.services.values())
       if (service.engines !== undefined) planService(service.name, service.engines);
   };
@@ -171,6 +185,24 @@
     return loads;
   };
 
+  /** Lists what has changed of the servers since a host was told. */
+  const listChanges = (state: HostState | undefined): Pick<FleetView, 'servers' | 'removed'> => {
+    if (state === undefined) return { servers: [], removed: [] };
+    const { toldServers } = state;
+    const removed = [...toldServers.keys()].filter((id) => !servers.has(id));
+    for (const id of removed) toldServers.delete(id);
+    const changed: FleetView['servers'] = [];
+    for (const [id, server] of servers) {
+      if (isSameServer(toldServers.get(id), server)) continue;
+      toldServers.set(id, server);
+      changed.push({
+        ...server,
+        models: server.models.map(({ name, adapters }) => ({ name, adapters: [...adapters] })),
+      });
+    }
+    return { servers: changed, removed };
+  };
+
   const listSuspects = (): string[] => {
     const fresh = listFresh();
     const votes = new Map<string, number>();
@@ -197,12 +229,18 @@
       buckets.record(report, known?.report);
       for (const [key, work] of Object.entries(report.demand))
         demand.set(key, (demand.get(key) ?? 0) + work);
-      hosts.set(report.host, { report, atMs: clock.monotonicMs(), told: known?.told ?? new Map() });
+      hosts.set(report.host, {
+        report,
+        atMs: clock.monotonicMs(),
+        told: known?.told ?? new Map<string, string>(),
+        toldServers: known?.toldServers ?? new Map<string, BackendServer>(),
+      });
     },
     dropHost: (host) => {
       hosts.get(host)?.told.clear();
+      hosts.get(host)?.toldServers.clear();
     },
-    buildView: (host, hostCount) => {
+    buildView: (host, hostCount, isCurrent) => {
       const state = hosts.get(host);
       const adapters: FleetView['adapters'] = {};
       for (const [id, room] of rooms) {
@@ -222,12 +260,17 @@
         ownLoads: state?.report.loads ?? {},
         ownAdmitted: state?.report.admitted ?? {},
         adapters,
-        leavingModels: [...rooms].flatMap(([id, room]) => room.listLeaving().map((model) => `${id}/${model}`)),
+        leavingModels: [...rooms].flatMap(([id, room]) =>
+          room.listLeaving().map((model) => `${id}/${model}`),
+        ),
         loadingModels: [...rooms].flatMap(([id, room]) => {
           const model = room.getLoading();
           return model === undefined ? [] : [`${servers.get(id)?.service ?? ''}/${model}`];
         }),
         suspects: listSuspects(),
+        // A host that has not reported yet can't be told apart from one that was told already.
+        isCurrent: isCurrent && state !== undefined,
+        ...listChanges(state),
       };
     },
     grantAdapter: async ({ model, adapter, servers: wanted, missing }) => {
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -139,9 +139,12 @@
       else finish(AttemptEnd.relayed, `server answered ${result.status}`);
     };
 
-    const deadline = setTimeout(() => {
-      giveUp(AttemptEnd.timedOut, 'deadline passed');
-    }, Math.max(1, remainingMs));
+    const deadline = setTimeout(
+      () => {
+        giveUp(AttemptEnd.timedOut, 'deadline passed');
+      },
+      Math.max(1, remainingMs),
+    );
     const silence = mayReplace ? setInterval(checkSilence, LEAST_SILENCE_MS / 4) : undefined;
     const attempt = context.backends.send(
       server,
--- a/src/serving/serveRequest.ts
+++ b/src/serving/serveRequest.ts
@@ -1,3 +1,4 @@
+import { computePatience } from '../decisions/serving/computePatience/index.js';
 import { mayTryAgain } from '../decisions/serving/mayTryAgain/index.js';
 import { rankServers } from '../decisions/serving/rankServers/index.js';
 import type { RankedServer, RoutedRequest } from '../decisions/serving/types.js';
@@ -105,9 +106,15 @@
 }
 
 /** Refuses a request that has not run, or owns up to not knowing when an attempt may have run. */
-function refuseRequest(course: Course, reason: string, retryAfterMs: number, cause?: string): void {
-  if (course.attemptsRun > 0) failRequest(course, 502, 'attempt failed, outcome unknown', { cause });
-  else failRequest(course, 503, reason, { retryAfterMs, cause });
+function refuseRequest(
+  course: Course,
+  reason: string,
+  retryAfterMs: number,
+  inputs: Record<string, unknown> = {},
+): void {
+  const all = { cause: course.lastReason, ...inputs };
+  if (course.attemptsRun > 0) failRequest(course, 502, 'attempt failed, outcome unknown', all);
+  else failRequest(course, 503, reason, { ...all, retryAfterMs });
 }
 
 function rankCandidates(course: Course): RankedServer[] {
@@ -131,15 +138,28 @@
   await new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+/** A server with what the request would meet there. */
+interface Choice {
+  server: BackendServer;
+  delayMs: number;
+  unreadTokens: number;
+}
+
+function toChoice({ context }: Course, ranked: RankedServer | undefined): Choice | undefined {
+  const server = ranked === undefined ? undefined : context.book.find(ranked.candidate.id);
+  if (ranked === undefined || server === undefined) return undefined;
+  return { server, delayMs: ranked.delayMs, unreadTokens: ranked.unreadTokens };
+}
+
 /** Chooses a server that holds what the request needs, and has an adapter loaded when none does. */
-async function chooseServer(course: Course): Promise<BackendServer | undefined> {
+async function chooseServer(course: Course): Promise<Choice | undefined> {
   const { context, request } = course;
   const { model, adapter } = request;
   const ranked = await findServers(course);
   const best = ranked[0];
   if (best === undefined) return undefined;
   if (model === undefined || adapter === undefined || best.candidate.holdsAdapter)
-    return context.book.find(best.candidate.id);
+    return toChoice(course, best);
   const servers = ranked.slice(0, ADAPTER_CHOICES).map(({ candidate }) => candidate.id);
   const grant = await context.placement.askForAdapter({
     model,
@@ -150,10 +170,15 @@
   if (grant !== undefined) {
     if (grant.readyInMs > 0) await waitMilliseconds(grant.readyInMs);
     context.book.recordAdapter(grant.server, model, adapter, true);
-    return context.book.find(grant.server);
+    return toChoice(
+      course,
+      ranked.find(({ candidate }) => candidate.id === grant.server),
+    );
   }
-  const holder = ranked.find(({ candidate }) => candidate.holdsAdapter);
-  return holder === undefined ? undefined : context.book.find(holder.candidate.id);
+  return toChoice(
+    course,
+    ranked.find(({ candidate }) => candidate.holdsAdapter),
+  );
 }
 
 /** Notes what a failed attempt says of its server. */
@@ -168,8 +193,7 @@
   else if (adapter !== undefined && !course.missing.has(server.id)) {
     course.missing.add(server.id);
     context.book.recordAdapter(server.id, model, adapter, false);
-  }
-  else {
+  } else {
     context.book.recordMissingModel(server.id, model);
     excluded.add(server.id);
   }
@@ -185,14 +209,17 @@
 }
 
 /** Sends the request to one server; returns whether it may go on with another one. */
-async function tryServer(course: Course, server: BackendServer): Promise<boolean> {
+async function tryServer(course: Course, choice: Choice): Promise<boolean> {
   const { context, request, reply, routed } = course;
+  const { server } = choice;
   const { repeat, maximumAttempts } = request.route;
   const place = context.book.takePlace(server.id, {
-    backlogTokens: routed.ownTokens,
+    backlogTokens: choice.unreadTokens,
     heldTokens: routed.ownTokens + SHARED_WEIGHT * routed.sharedTokens,
+    delayMs: choice.delayMs,
   });
-  const use = request.adapter === undefined ? undefined : `${request.model ?? ''}/${request.adapter}`;
+  const use =
+    request.adapter === undefined ? undefined : `${request.model ?? ''}/${request.adapter}`;
   if (use !== undefined) context.recordUse(server.id, use, 1);
   course.sends += 1;
   course.lastServer = server.id;
@@ -241,28 +268,38 @@
   if (mayGoOn) return true;
   if (failure === AttemptFailure.broken)
     failRequest(course, 502, 'attempt failed, outcome unknown', { cause: result.reason });
-  else refuseRequest(course, 'servers refused the request', LEAST_RETRY_AFTER_MS, result.reason);
+  else refuseRequest(course, 'servers refused the request', LEAST_RETRY_AFTER_MS);
   return false;
 }
 
 async function runCourse(course: Course): Promise<void> {
   const { context, request, reply } = course;
   for (;;) {
-    const server = await chooseServer(course);
+    const choice = await chooseServer(course);
     if (reply.signal.aborted) {
       logEnd(course, 0, 'caller left');
       return;
     }
     if (computeRemainingMs(course) <= 0) {
-      refuseRequest(course, 'no server in time', LEAST_RETRY_AFTER_MS, course.lastReason);
+      refuseRequest(course, 'no server in time', LEAST_RETRY_AFTER_MS);
       return;
     }
-    if (server === undefined) {
-      const reason = request.model === undefined ? 'no server' : 'no engine for the model or adapter';
-      refuseRequest(course, reason, MOST_RETRY_AFTER_MS / 2, course.lastReason);
+    if (choice === undefined) {
+      const reason =
+        request.model === undefined ? 'no server' : 'no engine for the model or adapter';
+      refuseRequest(course, reason, MOST_RETRY_AFTER_MS / 2);
+      return;
+    }
+    const patienceMs = computePatience(request, computeRemainingMs(course));
+    if (choice.delayMs > patienceMs) {
+      const retryAfterMs = choice.delayMs - patienceMs;
+      refuseRequest(course, 'servers are too far behind', retryAfterMs, {
+        delayMs: Math.round(choice.delayMs),
+        patienceMs,
+      });
       return;
     }
-    if (!(await tryServer(course, server))) return;
+    if (!(await tryServer(course, choice))) return;
   }
 }
 
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -47,7 +47,8 @@
   });
   return {
     render: () => registry.metrics(),
-    countRequest: (route, status, reason) => requests.inc({ route, status: String(status), reason }),
+    countRequest: (route, status, reason) =>
+      requests.inc({ route, status: String(status), reason }),
     countAttempt: (service, outcome) => attempts.inc({ service, outcome }),
     recordFirstBytes: (route, milliseconds) => firstBytes.observe({ route }, milliseconds / 1000),
     recordDuration: (route, milliseconds) => durations.observe({ route }, milliseconds / 1000),
