Test the serving decisions, one folder a function

Change: the id is read only where a line begins with it. Every decision has its test beside it; src/serving is laid out like the rest.

--- a/src/adapters/log/createBoundedLog.ts
+++ b/src/adapters/log/createBoundedLog/index.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '../../ports/clock.js';
-import type { Log, LogFields } from '../../ports/log.js';
+import type { Clock } from '../../../ports/clock.js';
+import type { Log, LogFields } from '../../../ports/log.js';
 
 /** Options of a bounded log. */
 export interface BoundedLogOptions {
--- /dev/null
+++ b/src/decisions/copies/planCopies/test.ts
@@ -0,0 +1,104 @@
+import fc from 'fast-check';
+import t from 'tap';
+import type { CopyEngine, CopyModel, CopyMove } from '../types.js';
+import { planCopies } from './index.js';
+
+const CAPACITY_MB = 200_000;
+const model = (name: string, demand: number, weightsMb = 65_000): CopyModel => ({
+  name,
+  weightsMb,
+  demand,
+});
+
+function buildEngine(id: string, held: readonly CopyModel[], isFree = true): CopyEngine {
+  const usedMb = held.reduce((sum, { weightsMb }) => sum + weightsMb, 0);
+  return { id, models: held.map(({ name }) => name), usedMb, capacityMb: CAPACITY_MB, isFree };
+}
+
+function applyMove(engines: readonly CopyEngine[], models: readonly CopyModel[], move: CopyMove) {
+  const byName = new Map(models.map((item) => [item.name, item]));
+  return engines.map((engine) => {
+    if (engine.id !== move.engine) return engine;
+    const names = [...engine.models.filter((name) => !move.unload.includes(name)), move.load];
+    return buildEngine(
+      engine.id,
+      names.map((name) => byName.get(name) ?? model(name, 0)),
+    );
+  });
+}
+
+t.test('loads a model that is asked for and that no engine holds', (t) => {
+  const models = [model('busy', 900), model('spare', 0), model('idle', 0), model('rare', 5)];
+  const [busy, spare, idle] = models as [CopyModel, CopyModel, CopyModel];
+  const engines = [buildEngine('a', [busy, spare, idle]), buildEngine('b', [busy, spare, idle])];
+  const move = planCopies(engines, models);
+  t.equal(move?.load, 'rare');
+  t.match(move?.unload, ['spare']);
+  t.end();
+});
+
+t.test('follows demand that moves to a model with one copy', (t) => {
+  const models = [model('before', 0), model('next', 9000), model('other', 300)];
+  const [before, next, other] = models as [CopyModel, CopyModel, CopyModel];
+  let engines = [
+    buildEngine('a', [before, other, next]),
+    ...['b', 'c', 'd', 'e'].map((id) => buildEngine(id, [before, other])),
+  ];
+  let moves = 0;
+  for (
+    let move = planCopies(engines, models);
+    move !== undefined;
+    move = planCopies(engines, models)
+  ) {
+    engines = applyMove(engines, models, move);
+    moves += 1;
+    if (moves > 20) break;
+  }
+  const copies = engines.filter(({ models: held }) => held.includes('next')).length;
+  t.equal(copies, 5);
+  t.ok(moves <= 8, 'it settles');
+  t.end();
+});
+
+t.test('keeps the last copy of a model that is asked for, and fits every engine', (t) => {
+  const size = fc.constantFrom(34_300, 65_000, 72_700);
+  const world = fc.record({
+    sizes: fc.array(size, { minLength: 4, maxLength: 12 }),
+    demands: fc.array(fc.nat(500), { minLength: 12, maxLength: 12 }),
+    held: fc.array(fc.uniqueArray(fc.nat(11), { maxLength: 2 }), { minLength: 2, maxLength: 8 }),
+  });
+  const property = fc.property(world, ({ sizes, demands, held }) => {
+    const models = sizes.map((weightsMb, index) =>
+      model(`m${index}`, demands[index] ?? 0, weightsMb),
+    );
+    let engines = held.map((indexes, index) =>
+      buildEngine(
+        `e${index}`,
+        indexes.flatMap((item) => models[item] ?? []),
+      ),
+    );
+    const count = (name: string): number =>
+      engines.filter(({ models: names }) => names.includes(name)).length;
+    for (let step = 0; step < 30; step += 1) {
+      const move = planCopies(engines, models);
+      if (move === undefined) return true;
+      const isLast = move.unload.some(
+        (name) => count(name) < 2 && (models.find((item) => item.name === name)?.demand ?? 0) > 0,
+      );
+      engines = applyMove(engines, models, move);
+      if (isLast || engines.some(({ usedMb }) => usedMb > CAPACITY_MB)) return false;
+    }
+    return true;
+  });
+  fc.assert(property, { seed: 21, numRuns: 200 });
+  t.end();
+});
+
+t.test('leaves engines alone that can take no order, and does nothing for even demand', (t) => {
+  const models = [model('one', 100), model('two', 100)];
+  const [one, two] = models as [CopyModel, CopyModel];
+  t.equal(planCopies([buildEngine('a', [one], false)], models), undefined);
+  const even = [buildEngine('a', [one, two]), buildEngine('b', [one, two])];
+  t.equal(planCopies(even, models), undefined);
+  t.end();
+});
--- /dev/null
+++ b/src/decisions/serving/rankServers/test.ts
@@ -0,0 +1,62 @@
+import t from 'tap';
+import type { RoutedRequest, ServerCandidate } from '../types.js';
+import { rankServers } from './index.js';
+
+const engine = (id: string, change: Partial<ServerCandidate> = {}): ServerCandidate => ({
+  id,
+  active: 0,
+  slots: 64,
+  backlogTokens: 0,
+  heldTokens: 0,
+  memoryTokens: 232_000,
+  holdsAdapter: true,
+  isNear: true,
+  failureShare: 0,
+  runMs: 500,
+  slowness: 1,
+  ...change,
+});
+const report: RoutedRequest = { affinityKey: 'm/depot-7', sharedTokens: 6300, ownTokens: 2900 };
+const rank = (candidates: ServerCandidate[], request = report) =>
+  rankServers(candidates, request, () => 0.5).map(({ candidate }) => candidate.id);
+
+t.test('sends requests that share a prompt to one engine, whatever the order of the list', (t) => {
+  const engines = ['a', 'b', 'c', 'd'].map((id) => engine(id));
+  const first = rank(engines)[0];
+  t.equal(rank([...engines].reverse())[0], first);
+  t.end();
+});
+
+t.test('leaves that engine once its backlog costs more than reading the prompt', (t) => {
+  const engines = ['a', 'b', 'c', 'd'].map((id) => engine(id));
+  const first = rank(engines)[0];
+  const loaded = (tokens: number) =>
+    rank(engines.map((item) => (item.id === first ? { ...item, backlogTokens: tokens } : item)))[0];
+  t.equal(loaded(5000), first);
+  t.not(loaded(9000), first);
+  t.end();
+});
+
+t.test('avoids an engine that fails, is slow, or has no memory left', (t) => {
+  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 800 };
+  t.equal(rank([engine('a', { failureShare: 0.5 }), engine('b', { active: 20 })], plain)[0], 'b');
+  t.equal(rank([engine('a', { slowness: 4 }), engine('b', { active: 20 })], plain)[0], 'b');
+  t.equal(rank([engine('a', { heldTokens: 232_000 }), engine('b', { active: 40 })], plain)[0], 'b');
+  t.end();
+});
+
+t.test('takes a plain server with free places before one with a queue', (t) => {
+  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 0 };
+  const busy = engine('busy', { slots: 6, active: 9, memoryTokens: 0, runMs: 40 });
+  const far = engine('far', { slots: 6, active: 3, memoryTokens: 0, runMs: 40, isNear: false });
+  t.equal(rank([busy, far], plain)[0], 'far');
+  t.end();
+});
+
+t.test('prefers an engine that holds the adapter while it is not far behind', (t) => {
+  const chat = { affinityKey: '', sharedTokens: 0, ownTokens: 800 };
+  const without = engine('without', { holdsAdapter: false });
+  t.equal(rank([without, engine('with', { backlogTokens: 500 })], chat)[0], 'with');
+  t.equal(rank([without, engine('with', { backlogTokens: 5000 })], chat)[0], 'without');
+  t.end();
+});
--- a/src/decisions/serving/splitEvents/index.ts
+++ b/src/decisions/serving/splitEvents/index.ts
@@ -25,8 +25,9 @@
   const whole = bytes.subarray(0, end);
   const rest = bytes.subarray(end);
   const text = whole.toString('latin1');
-  const start = Math.max(text.lastIndexOf('\nid:'), text.startsWith('id:') ? -1 : -2);
-  if (start < -1) return { whole, rest };
-  const line = text.slice(start + 1).split(/\r?\n/, 1)[0] ?? '';
+  const inner = text.lastIndexOf('\nid:');
+  if (inner < 0 && !text.startsWith('id:')) return { whole, rest };
+  const start = inner + 1;
+  const line = text.slice(start).split(/\r?\n/, 1)[0] ?? '';
   return { whole, rest, lastEventId: line.slice('id:'.length).trim() };
 }
--- a/src/programs/fleetEntry/startFleetEntry.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -1,27 +1,27 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as wait } from 'node:timers/promises';
-import { formatError } from '../../errors/index.js';
-import type { Clock } from '../../ports/clock.js';
-import type { FleetStore } from '../../ports/fleetStore.js';
-import type { Log } from '../../ports/log.js';
-import type { ModelOrders } from '../../ports/modelOrders.js';
+import { formatError } from '../../../errors/index.js';
+import type { Clock } from '../../../ports/clock.js';
+import type { FleetStore } from '../../../ports/fleetStore.js';
+import type { Log } from '../../../ports/log.js';
+import type { ModelOrders } from '../../../ports/modelOrders.js';
 import type {
   BackendCaller,
   BackendServer,
   CallerReply,
   ServingConfiguration,
   ServingRequest,
-} from '../../ports/serving.js';
-import { createFleetPart } from '../../serving/createFleetPart.js';
-import { createOrganisationRates } from '../../serving/createOrganisationRates.js';
-import { createRepeatBudget } from '../../serving/createRepeatBudget.js';
-import { createServerBook } from '../../serving/createServerBook.js';
-import { followPrefix } from '../../serving/followPrefix.js';
-import { followServers } from '../../serving/followServers.js';
-import { keepMembership, type Membership } from '../../serving/keepMembership.js';
-import { serveRequest } from '../../serving/serveRequest.js';
-import type { ServingMetrics } from '../../serving/servingMetrics.js';
-import type { ServingContext } from '../../serving/types.js';
+} from '../../../ports/serving.js';
+import { createFleetPart } from '../../../serving/createFleetPart/index.js';
+import { createOrganisationRates } from '../../../serving/createOrganisationRates/index.js';
+import { createRepeatBudget } from '../../../serving/createRepeatBudget/index.js';
+import { createServerBook } from '../../../serving/createServerBook/index.js';
+import { followPrefix } from '../../../serving/followPrefix/index.js';
+import { followServers } from '../../../serving/followServers/index.js';
+import { keepMembership, type Membership } from '../../../serving/keepMembership/index.js';
+import { serveRequest } from '../../../serving/serveRequest/index.js';
+import type { ServingMetrics } from '../../../serving/servingMetrics/index.js';
+import type { ServingContext } from '../../../serving/types.js';
 
 /** The server that callers reach, as an adapter provides it. */
 export interface CallerPort {
--- a/src/serving/createEngineRoom.ts
+++ b/src/serving/createEngineRoom/index.ts
@@ -1,10 +1,10 @@
-import { chooseVictim } from '../decisions/copies/chooseVictim/index.js';
-import type { Clock } from '../ports/clock.js';
-import type { Log } from '../ports/log.js';
-import { OrderOutcome, type ModelOrder, type ModelOrders } from '../ports/modelOrders.js';
-import type { BackendServer, EnginePool } from '../ports/serving.js';
-import type { ServingMetrics } from './servingMetrics.js';
-import type { AdapterGrant } from './types.js';
+import { chooseVictim } from '../../decisions/copies/chooseVictim/index.js';
+import type { Clock } from '../../ports/clock.js';
+import type { Log } from '../../ports/log.js';
+import { OrderOutcome, type ModelOrder, type ModelOrders } from '../../ports/modelOrders.js';
+import type { BackendServer, EnginePool } from '../../ports/serving.js';
+import type { ServingMetrics } from '../servingMetrics/index.js';
+import type { AdapterGrant } from '../types.js';
 
 /** What ordering one engine needs. */
 export interface EngineRoomOptions {
--- a/src/serving/createFleetBuckets.ts
+++ b/src/serving/createFleetBuckets/index.ts
@@ -1,6 +1,6 @@
-import type { Clock } from '../ports/clock.js';
-import type { ServingOrganisation } from '../ports/serving.js';
-import type { FleetReport, FleetView } from './fleetMessages.js';
+import type { Clock } from '../../ports/clock.js';
+import type { ServingOrganisation } from '../../ports/serving.js';
+import type { FleetReport, FleetView } from '../fleetMessages.js';
 
 /** The fleet's buckets, as the holder of the command keeps them from the hosts' reports. */
 export interface FleetBuckets {
--- a/src/serving/createFleetLink.ts
+++ b/src/serving/createFleetLink/index.ts
@@ -1,10 +1,10 @@
 import { connect, createServer, type Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
-import { createConnection, type PeerConnection } from '../adapters/peer/createConnection.js';
-import { isAborted } from '../common/isAborted.js';
-import type { Log } from '../ports/log.js';
-import { parseFleetMessage, type FleetMessage } from './fleetMessages.js';
-import type { FleetHost } from './keepMembership.js';
+import { createConnection, type PeerConnection } from '../../adapters/peer/createConnection.js';
+import { isAborted } from '../../common/isAborted.js';
+import type { Log } from '../../ports/log.js';
+import { parseFleetMessage, type FleetMessage } from '../fleetMessages.js';
+import type { FleetHost } from '../keepMembership/index.js';
 
 /** A connection between two hosts of the fleet. */
 export type FleetConnection = PeerConnection<FleetMessage>;
--- a/src/serving/createFleetPart.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -1,16 +1,16 @@
-import type { Clock } from '../ports/clock.js';
-import type { Log } from '../ports/log.js';
-import type { ModelOrders } from '../ports/modelOrders.js';
-import type { BackendServer, ServingConfiguration } from '../ports/serving.js';
-import { createFleetLink, type FleetConnection } from './createFleetLink.js';
-import type { OrganisationRates } from './createOrganisationRates.js';
-import type { RepeatBudget } from './createRepeatBudget.js';
-import type { ServerBook, ServerLoad } from './createServerBook.js';
-import type { FleetMessage, FleetReport, FleetView } from './fleetMessages.js';
-import type { FleetHost, Membership } from './keepMembership.js';
-import { leadFleet, type FleetLead } from './leadFleet.js';
-import type { ServingMetrics } from './servingMetrics.js';
-import type { AdapterGrant, AdapterWish, Placement } from './types.js';
+import type { Clock } from '../../ports/clock.js';
+import type { Log } from '../../ports/log.js';
+import type { ModelOrders } from '../../ports/modelOrders.js';
+import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import { createFleetLink, type FleetConnection } from '../createFleetLink/index.js';
+import type { OrganisationRates } from '../createOrganisationRates/index.js';
+import type { RepeatBudget } from '../createRepeatBudget/index.js';
+import type { ServerBook, ServerLoad } from '../createServerBook/index.js';
+import type { FleetMessage, FleetReport, FleetView } from '../fleetMessages.js';
+import type { FleetHost, Membership } from '../keepMembership/index.js';
+import { leadFleet, type FleetLead } from '../leadFleet/index.js';
+import type { ServingMetrics } from '../servingMetrics/index.js';
+import type { AdapterGrant, AdapterWish, Placement } from '../types.js';
 
 /** A host's part in the fleet: it reports to the holder of the command, or is the holder itself. */
 export interface FleetPart {
--- a/src/serving/createOrganisationRates.ts
+++ b/src/serving/createOrganisationRates/index.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '../ports/clock.js';
-import type { ServingOrganisation } from '../ports/serving.js';
+import type { Clock } from '../../ports/clock.js';
+import type { ServingOrganisation } from '../../ports/serving.js';
 
 /** Outcome of charging a request to its organisation. */
 export type ChargeResult =
--- a/src/serving/createRepeatBudget.ts
+++ b/src/serving/createRepeatBudget/index.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../ports/clock.js';
+import type { Clock } from '../../ports/clock.js';
 
 /** Limits what servers are sent beyond the first attempt of each request. */
 export interface RepeatBudget {
--- a/src/serving/createServerBook.ts
+++ b/src/serving/createServerBook/index.ts
@@ -1,7 +1,7 @@
-import type { ServerCandidate } from '../decisions/serving/types.js';
-import type { Clock } from '../ports/clock.js';
-import type { Log } from '../ports/log.js';
-import type { BackendServer, ServingConfiguration } from '../ports/serving.js';
+import type { ServerCandidate } from '../../decisions/serving/types.js';
+import type { Clock } from '../../ports/clock.js';
+import type { Log } from '../../ports/log.js';
+import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 
 /** Load of one server as one host, or all of them, have put it there. */
 export interface ServerLoad {
--- a/src/serving/followPrefix.ts
+++ b/src/serving/followPrefix/index.ts
@@ -1,8 +1,8 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { isAborted } from '../common/isAborted.js';
-import { formatError } from '../errors/index.js';
-import type { FleetStore, StoreChange, StoreItem } from '../ports/fleetStore.js';
-import type { Log } from '../ports/log.js';
+import { isAborted } from '../../common/isAborted.js';
+import { formatError } from '../../errors/index.js';
+import type { FleetStore, StoreChange, StoreItem } from '../../ports/fleetStore.js';
+import type { Log } from '../../ports/log.js';
 
 /** Options of following a prefix of the store. */
 export interface FollowPrefixOptions {
--- a/src/serving/followServers.ts
+++ b/src/serving/followServers/index.ts
@@ -1,9 +1,9 @@
-import type { Clock } from '../ports/clock.js';
-import { formatError } from '../errors/index.js';
-import type { FleetStore, StoreChange } from '../ports/fleetStore.js';
-import type { Log } from '../ports/log.js';
-import type { BackendServer } from '../ports/serving.js';
-import { followPrefix } from './followPrefix.js';
+import type { Clock } from '../../ports/clock.js';
+import { formatError } from '../../errors/index.js';
+import type { FleetStore, StoreChange } from '../../ports/fleetStore.js';
+import type { Log } from '../../ports/log.js';
+import type { BackendServer } from '../../ports/serving.js';
+import { followPrefix } from '../followPrefix/index.js';
 
 /** Options of following the entries of backend servers. */
 export interface FollowServersOptions {
--- a/src/serving/keepMembership.ts
+++ b/src/serving/keepMembership/index.ts
@@ -1,16 +1,16 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { isAborted } from '../common/isAborted.js';
-import { isHolderSure, type HeldLease } from '../decisions/command/isHolderSure/index.js';
-import { formatError } from '../errors/index.js';
-import type { Clock } from '../ports/clock.js';
+import { isAborted } from '../../common/isAborted.js';
+import { isHolderSure, type HeldLease } from '../../decisions/command/isHolderSure/index.js';
+import { formatError } from '../../errors/index.js';
+import type { Clock } from '../../ports/clock.js';
 import {
   TransactionResult,
   type FleetStore,
   type StoreChange,
   type StoreItem,
-} from '../ports/fleetStore.js';
-import type { Log } from '../ports/log.js';
-import { followPrefix } from './followPrefix.js';
+} from '../../ports/fleetStore.js';
+import type { Log } from '../../ports/log.js';
+import { followPrefix } from '../followPrefix/index.js';
 
 /** Prefix of the fleet's own keys. */
 export const FLEET_PREFIX = 'bronzelanding/';
--- a/src/serving/leadFleet.ts
+++ b/src/serving/leadFleet/index.ts
@@ -1,14 +1,14 @@
-import { planCopies } from '../decisions/copies/planCopies/index.js';
-import type { CopyModel } from '../decisions/copies/types.js';
-import type { Clock } from '../ports/clock.js';
-import type { Log } from '../ports/log.js';
-import type { ModelOrders } from '../ports/modelOrders.js';
-import type { BackendServer, EnginePool, ServingConfiguration } from '../ports/serving.js';
-import { createFleetBuckets } from './createFleetBuckets.js';
-import { createEngineRoom, type EngineRoom } from './createEngineRoom.js';
-import type { FleetReport, FleetView } from './fleetMessages.js';
-import type { ServingMetrics } from './servingMetrics.js';
-import type { AdapterGrant, AdapterWish } from './types.js';
+import { planCopies } from '../../decisions/copies/planCopies/index.js';
+import type { CopyModel } from '../../decisions/copies/types.js';
+import type { Clock } from '../../ports/clock.js';
+import type { Log } from '../../ports/log.js';
+import type { ModelOrders } from '../../ports/modelOrders.js';
+import type { BackendServer, EnginePool, ServingConfiguration } from '../../ports/serving.js';
+import { createFleetBuckets } from '../createFleetBuckets/index.js';
+import { createEngineRoom, type EngineRoom } from '../createEngineRoom/index.js';
+import type { FleetReport, FleetView } from '../fleetMessages.js';
+import type { ServingMetrics } from '../servingMetrics/index.js';
+import type { AdapterGrant, AdapterWish } from '../types.js';
 
 /** What leading the fleet needs. */
 export interface LeadFleetOptions {
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt/index.ts
@@ -1,4 +1,4 @@
-import { splitEvents } from '../decisions/serving/splitEvents/index.js';
+import { splitEvents } from '../../decisions/serving/splitEvents/index.js';
 import {
   AttemptFailure,
   RepeatRule,
@@ -6,9 +6,9 @@
   type BackendServer,
   type CallerReply,
   type ServingRequest,
-} from '../ports/serving.js';
-import type { BookedPlace } from './createServerBook.js';
-import type { ServingContext } from './types.js';
+} from '../../ports/serving.js';
+import type { BookedPlace } from '../createServerBook/index.js';
+import type { ServingContext } from '../types.js';
 
 /** How an attempt ended. */
 export const AttemptEnd = {
--- a/src/serving/serveRequest.ts
+++ b/src/serving/serveRequest/index.ts
@@ -1,17 +1,17 @@
-import { computePatience } from '../decisions/serving/computePatience/index.js';
-import { mayTryAgain } from '../decisions/serving/mayTryAgain/index.js';
-import { rankServers } from '../decisions/serving/rankServers/index.js';
-import type { RankedServer, RoutedRequest } from '../decisions/serving/types.js';
+import { computePatience } from '../../decisions/serving/computePatience/index.js';
+import { mayTryAgain } from '../../decisions/serving/mayTryAgain/index.js';
+import { rankServers } from '../../decisions/serving/rankServers/index.js';
+import type { RankedServer, RoutedRequest } from '../../decisions/serving/types.js';
 import {
   AttemptFailure,
   RepeatRule,
   type BackendServer,
   type CallerReply,
   type ServingRequest,
-} from '../ports/serving.js';
-import { PlaceOutcome } from './createServerBook.js';
-import { AttemptEnd, runAttempt, type AttemptResult } from './runAttempt.js';
-import type { ServingContext } from './types.js';
+} from '../../ports/serving.js';
+import { PlaceOutcome } from '../createServerBook/index.js';
+import { AttemptEnd, runAttempt, type AttemptResult } from '../runAttempt/index.js';
+import type { ServingContext } from '../types.js';
 
 const MOST_SENDS = 5; // refusals cost a round trip each; more of them don't find room either
 const MODEL_WAIT_MS = 3000; // a load from the weight store, and the order before it
@@ -55,7 +55,7 @@
   return request.deadlineAtMs - context.clock.monotonicMs();
 }
 
-function logEnd(course: Course, status: number, reason: string, inputs: object = {}): void {
+function recordEnd(course: Course, status: number, reason: string, inputs: object = {}): void {
   const { context, request } = course;
   const elapsedMs = context.clock.monotonicMs() - request.arrivedAtMs;
   context.metrics.countRequest(request.route.name, status, reason);
@@ -92,7 +92,7 @@
   { retryAfterMs, ...inputs }: FailureInputs = {},
 ): void {
   const { reply } = course;
-  logEnd(course, status, reason, { retryAfterMs, ...inputs });
+  recordEnd(course, status, reason, { retryAfterMs, ...inputs });
   if (reply.signal.aborted) return;
   if (reply.isHeadSent()) reply.cut();
   else
@@ -238,13 +238,13 @@
   course.lastEventId = result.lastEventId ?? course.lastEventId;
   course.lastReason = result.reason;
   if (result.end === AttemptEnd.served || result.end === AttemptEnd.relayed) {
-    logEnd(course, result.status, result.end === AttemptEnd.served ? 'served' : result.reason, {
+    recordEnd(course, result.status, result.end === AttemptEnd.served ? 'served' : result.reason, {
       firstBytesMs: result.firstBytesMs,
     });
     return false;
   }
   if (result.end === AttemptEnd.callerLeft) {
-    logEnd(course, 0, 'caller left');
+    recordEnd(course, 0, 'caller left');
     return false;
   }
   const failure = result.failure ?? AttemptFailure.broken;
@@ -277,7 +277,7 @@
   for (;;) {
     const choice = await chooseServer(course);
     if (reply.signal.aborted) {
-      logEnd(course, 0, 'caller left');
+      recordEnd(course, 0, 'caller left');
       return;
     }
     if (computeRemainingMs(course) <= 0) {
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -1,10 +1,10 @@
 import type { Clock } from '../ports/clock.js';
 import type { Log } from '../ports/log.js';
 import type { BackendCaller } from '../ports/serving.js';
-import type { OrganisationRates } from './createOrganisationRates.js';
-import type { RepeatBudget } from './createRepeatBudget.js';
-import type { ServerBook } from './createServerBook.js';
-import type { ServingMetrics } from './servingMetrics.js';
+import type { OrganisationRates } from './createOrganisationRates/index.js';
+import type { RepeatBudget } from './createRepeatBudget/index.js';
+import type { ServerBook } from './createServerBook/index.js';
+import type { ServingMetrics } from './servingMetrics/index.js';
 
 /** A request for an adapter on one of some engines, the most wanted first. */
 export interface AdapterWish {
