--- a/src/serving/createEngineRoom/index.ts
+++ b/src/serving/createEngineRoom/index.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { chooseVictim } from '../../decisions/copies/chooseVictim/index.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
@@ -19,6 +20,8 @@
   isInUse: (server: string, adapter: string) => boolean;
   server: BackendServer;
   pool: EnginePool;
+  /** Waits for some milliseconds; tests pass a time of their own. */
+  waitMilliseconds?: (milliseconds: number) => Promise<unknown>;
 }
 
 /** What the holder of the command knows of one engine, and its orders to it, one at a time. */
@@ -56,13 +59,10 @@
 const ADAPTER_MS_PER_MB = 0.09;
 const LOAD_TRIES = 3; // an order without an answer is sent again, so that the first can't count later
 
-function waitMilliseconds(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 /** Creates the orders of one engine. */
 export function createEngineRoom(options: EngineRoomOptions): EngineRoom {
   const { clock, log, metrics, orders, holder, fence, ensureCommand, isInUse } = options;
+  const { waitMilliseconds = wait } = options;
   let { server, pool } = options;
   /** Orders that the engine has accepted; unknown until it has reported. */
   let orderCount: number | undefined;
@@ -74,6 +74,7 @@
   let isInDoubt = false;
   let isMoving = false;
   let lastOrderAtMs = -Infinity;
+  let lookedAtMs = -Infinity;
   let chain: Promise<unknown> = Promise.resolve();
 
   const findSize = (model: string) => pool.models.find(({ name }) => name === model);
@@ -96,6 +97,20 @@
   };
   adopt(server.models);
 
+  const isAsKnown = (held: readonly { name: string; adapters: readonly string[] }[]): boolean =>
+    held.length === models.size &&
+    held.every(({ name, adapters }) => {
+      const known = models.get(name)?.adapters;
+      return known?.size === adapters.length && adapters.every((adapter) => known.has(adapter));
+    });
+
+  /** Takes which models are there from an entry; adapters stay as they are until a report says more. */
+  const adoptCopies = (held: readonly { name: string; adapters: readonly string[] }[]): void => {
+    const names = new Set(held.map(({ name }) => name));
+    for (const name of models.keys()) if (!names.has(name)) models.delete(name);
+    for (const name of names) if (!models.has(name)) models.set(name, { adapters: new Map() });
+  };
+
   /** Runs tasks of this engine one after the other, as it takes one order at a time. */
   const enqueue = <T>(task: () => Promise<T>): Promise<T> => {
     const result = chain.then(task);
@@ -281,11 +296,14 @@
   return {
     setServer: (next) => {
       server = next;
-      const isSettled = clock.monotonicMs() - lastOrderAtMs > ENTRY_NEWER_MS;
-      if (isSettled && !isInDoubt) adopt(next.models);
-      else
-        for (const { name } of next.models)
-          if (!models.has(name) && name === loading) models.set(name, { adapters: new Map() });
+      const nowMs = clock.monotonicMs();
+      const isSettled = nowMs - Math.max(lastOrderAtMs, lookedAtMs) > ENTRY_NEWER_MS;
+      // An entry may be older than the last order, however late it arrives: it only gives a reason to look.
+      if (isSettled && !isInDoubt && !isMoving && !isAsKnown(next.models)) {
+        lookedAtMs = nowMs;
+        orderCount = undefined;
+        adoptCopies(next.models);
+      }
     },
     setPool: (next) => {
       pool = next;
