--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -25,7 +25,8 @@
 
 /** The server that callers reach, as an adapter provides it. */
 export interface CallerPort {
-  listen: () => Promise<void>;
+  /** Settles with the port. */
+  listen: () => Promise<number>;
   setConfiguration: (configuration: ServingConfiguration) => void;
   startLeaving: () => void;
   startRefusing: () => void;
@@ -65,6 +66,7 @@
 
 /** A running host. */
 export interface FleetEntry {
+  callerPort: number;
   isReady: () => boolean;
   stop: () => Promise<void>;
 }
@@ -151,15 +153,15 @@
       reply.cut();
     });
   });
-  await part.listen(options.address, options.peerPort);
-  await callers.listen();
+  const peerPort = await part.listen(options.address, options.peerPort);
+  const callerPort = await callers.listen();
 
   const membership = keepMembership({
     store,
     clock,
     log,
     random: options.random,
-    self: { name: host, address: options.address, port: options.peerPort },
+    self: { name: host, address: options.address, port: peerPort },
     incarnation,
     ttlMs: LEASE_TTL_MS,
     handoverMs: bounds.leaseMs,
@@ -205,7 +207,7 @@
     onAnswer: () => part.recordAnswer('servers'),
     isFed: part.isFed,
   });
-  log.info({ incarnation, address: options.address, peerPort: options.peerPort }, 'started');
+  log.info({ incarnation, address: options.address, peerPort, callerPort }, 'started');
 
   const stop = async (): Promise<void> => {
     isStopping = true;
@@ -228,5 +230,5 @@
       'planned stop done',
     );
   };
-  return { isReady: () => !isStopping && configuration !== undefined && hasServers, stop };
+  return { callerPort, isReady: () => !isStopping && configuration !== undefined && hasServers, stop };
 }
--- a/src/serving/createFleetLink/index.ts
+++ b/src/serving/createFleetLink/index.ts
@@ -1,4 +1,4 @@
-import { connect, createServer, type Socket } from 'node:net';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import { createConnection, type PeerConnection } from '../../adapters/peer/createConnection.js';
 import { isAborted } from '../../common/isAborted.js';
@@ -11,7 +11,8 @@
 
 /** Connections of one host: to the holder of the command, and from it to all hosts. */
 export interface FleetLink {
-  listen: (address: string, port: number) => Promise<void>;
+  /** Settles with the port; 0 picks a free one. */
+  listen: (address: string, port: number) => Promise<number>;
   /** While a fence is given, keeps a connection to each host that is or was listed lately. */
   lead: (fence: number | undefined) => void;
   setHosts: (hosts: readonly FleetHost[]) => void;
@@ -150,7 +151,7 @@
     listen: (address, port) =>
       new Promise((resolve, reject) => {
         server.once('error', reject);
-        server.listen(port, address, resolve);
+        server.listen(port, address, () => resolve((server.address() as AddressInfo).port));
       }),
     lead: (fence) => {
       if (fence === leading) return;
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -15,7 +15,7 @@
 /** A host's part in the fleet: it reports to the holder of the command, or is the holder itself. */
 export interface FleetPart {
   placement: Placement;
-  listen: (address: string, port: number) => Promise<void>;
+  listen: (address: string, port: number) => Promise<number>;
   setHosts: (hosts: readonly FleetHost[]) => void;
   setFence: (fence: number | undefined) => void;
   setConfiguration: (configuration: ServingConfiguration, value: Buffer) => void;
--- a/src/serving/createOrganisationRates/index.ts
+++ b/src/serving/createOrganisationRates/index.ts
@@ -46,6 +46,8 @@
   /** Tokens admitted since this host's start. */
   admitted: number;
   share: number;
+  /** When those that were turned away so far will have been let in. */
+  promisedAtMs: number;
 }
 
 const FLEET_FRESH_MS = 1000; // a few rounds of the leader
@@ -80,7 +82,7 @@
       const known = fleet?.levels.get(name);
       const earned = (rate * (nowMs - startedAtMs)) / 1000 / hosts;
       const level = known ?? Math.min(burst / hosts, earned);
-      account = { level, atMs: nowMs, rate, burst, admitted: 0, share };
+      account = { level, atMs: nowMs, rate, burst, admitted: 0, share, promisedAtMs: 0 };
       accounts.set(name, account);
     }
     refill(account, nowMs);
@@ -99,7 +101,10 @@
       const needed = Math.min(tokens, account.burst);
       if (account.level < needed) {
         const { level, rate } = account;
-        const retryAfterMs = ((needed - level) / rate) * 1000;
+        // Callers that were all told the same moment would find the bucket empty again.
+        const soonestMs = nowMs + (Math.max(0, -level) / rate) * 1000;
+        account.promisedAtMs = Math.max(account.promisedAtMs, soonestMs) + (needed / rate) * 1000;
+        const retryAfterMs = account.promisedAtMs - nowMs;
         return { isWithin: false, retryAfterMs, level, rate, fleetAgeMs: nowMs - fleetAtMs };
       }
       account.level -= tokens;
--- /dev/null
+++ b/src/serving/createOrganisationRates/test.ts
@@ -0,0 +1,114 @@
+import fc from 'fast-check';
+import t from 'tap';
+import { createFleetBuckets } from '../createFleetBuckets/index.js';
+import type { FleetReport } from '../fleetMessages.js';
+import { createOrganisationRates, type OrganisationRates } from './index.js';
+
+const ROUND_MS = 200;
+const depots = { name: 'depots', rate: 10_000, burst: 10_000, plainTokens: 1 };
+
+function buildReport(host: number, rates: OrganisationRates): FleetReport {
+  return {
+    type: 'report',
+    host: `h${host}`,
+    incarnation: `h${host}/1`,
+    version: 1,
+    loads: {},
+    admitted: Object.fromEntries(rates.getAdmitted()),
+    demand: {},
+    adaptersInUse: [],
+    silent: [],
+  };
+}
+
+/** Hosts that all ask more than the rate, with the holder of the command heard in some rounds only. */
+function playHosts(hostCount: number, rounds: readonly boolean[], tokens: number): number {
+  let nowMs = 0;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const hosts = Array.from({ length: hostCount }, () => createOrganisationRates({ clock }));
+  for (const rates of hosts) rates.setHosts(hostCount);
+  const buckets = createFleetBuckets({ clock, levels: new Map() });
+  buckets.setOrganisations([depots]);
+  const reports = new Map<number, FleetReport>();
+  let admitted = 0;
+  for (const isHeard of rounds) {
+    for (let step = 0; step < ROUND_MS; step += 20) {
+      nowMs += 20;
+      for (const rates of hosts) if (rates.charge(depots, tokens).isWithin) admitted += tokens;
+    }
+    if (!isHeard) continue;
+    hosts.forEach((rates, index) => {
+      const report = buildReport(index, rates);
+      buckets.record(report, reports.get(index));
+      reports.set(index, report);
+    });
+    hosts.forEach((rates, index) => {
+      const { levels, shares } = buckets.describe(`h${index}`);
+      rates.setFleet({
+        levels: new Map(Object.entries(levels)),
+        shares: new Map(Object.entries(shares)),
+        own: new Map(Object.entries(reports.get(index)?.admitted ?? {})),
+      });
+    });
+  }
+  return admitted;
+}
+
+t.test('admits within the rate and burst of the fleet, up to one round of the figures', (t) => {
+  const property = fc.property(
+    fc.integer({ min: 1, max: 12 }),
+    fc.integer({ min: 50, max: 3000 }),
+    (hostCount, tokens) => {
+      const rounds = Array.from({ length: 40 }, () => true);
+      const seconds = (rounds.length * ROUND_MS) / 1000;
+      // Each host may spend the refill of a round before it hears of the others.
+      const lag = (hostCount * depots.rate * ROUND_MS) / 1000;
+      const bound = depots.rate * seconds + depots.burst + lag + hostCount * tokens;
+      return playHosts(hostCount, rounds, tokens) <= bound;
+    },
+  );
+  fc.assert(property, { seed: 31, numRuns: 60 });
+  t.end();
+});
+
+t.test('admits within the rate while nobody leads, and most of it', (t) => {
+  const rounds = Array.from({ length: 40 }, () => false);
+  const total = playHosts(7, rounds, 100);
+  t.ok(total <= 8 * depots.rate + depots.burst);
+  t.ok(total >= 0.8 * 8 * depots.rate);
+  t.end();
+});
+
+t.test('admits within the rate through changes between both', (t) => {
+  const property = fc.property(
+    fc.integer({ min: 2, max: 8 }),
+    fc.array(fc.boolean(), { minLength: 40, maxLength: 40 }),
+    (hostCount, rounds) => {
+      const changes = rounds.filter((isHeard, index) => isHeard !== rounds[index - 1]).length;
+      const lag = ((hostCount + changes) * depots.rate * 1000) / 1000;
+      return playHosts(hostCount, rounds, 400) <= 9 * depots.rate + lag + hostCount * 400;
+    },
+  );
+  fc.assert(property, { seed: 32, numRuns: 60 });
+  t.end();
+});
+
+t.test('tells callers to come back one after the other', (t) => {
+  let nowMs = 0;
+  const rates = createOrganisationRates({ clock: { monotonicMs: () => nowMs, wallMs: () => 0 } });
+  rates.setHosts(1);
+  nowMs = 5000;
+  t.ok(rates.charge(depots, 10_000).isWithin);
+  const waits = [1, 2, 3].map(() => {
+    const result = rates.charge(depots, 5000);
+    return result.isWithin ? 0 : Math.round(result.retryAfterMs);
+  });
+  t.match(waits, [500, 1000, 1500]);
+  t.end();
+});
+
+t.test('lets an organisation without a rate pass', (t) => {
+  const rates = createOrganisationRates({ clock: { monotonicMs: () => 0, wallMs: () => 0 } });
+  t.ok(rates.charge({ ...depots, rate: 0 }, 1e9).isWithin);
+  t.end();
+});
--- a/src/serving/createRepeatBudget/index.ts
+++ b/src/serving/createRepeatBudget/index.ts
@@ -19,50 +19,52 @@
   windowMs: number;
 }
 
-interface Window {
-  startedAtMs: number;
-  requests: number;
-  repeats: number;
-  /** Repeats of the window before. */
-  previousRepeats: number;
-  previousRequests: number;
+/** Moments of what was sent for one service, the oldest first. */
+interface Account {
+  requestsAtMs: number[];
+  repeatsAtMs: number[];
 }
 
-const SAFE_PART = 0.8; // hosts measure their windows at different moments
+const UNKNOWN_HOSTS = 8; // the fleet's size is not known in the first moments of a host
+const SAFE_PART = 0.8; // hosts learn of each other at different moments
 
-/** Creates a budget of repeats over two half windows, so that no window of the full length is over it. */
+function dropBefore(times: number[], atMs: number): void {
+  let count = 0;
+  while (count < times.length && (times[count] ?? 0) <= atMs) count += 1;
+  if (count > 0) times.splice(0, count);
+}
+
+/**
+ * Creates a budget of repeats. Any window that ends with a repeat holds no more than the budget
+ * allowed then; requests count for half a window, so that they lie within that window or the one
+ * half a window before it.
+ */
 export function createRepeatBudget(options: RepeatBudgetOptions): RepeatBudget {
   const { clock, ratio, extra, windowMs } = options;
-  const halfMs = windowMs / 2;
-  const windows = new Map<string, Window>();
-  let hosts = 1;
+  const accounts = new Map<string, Account>();
+  let hosts = UNKNOWN_HOSTS;
 
-  const findWindow = (service: string): Window => {
+  const findAccount = (service: string): Account => {
     const nowMs = clock.monotonicMs();
-    const window = windows.get(service);
-    if (window !== undefined && nowMs - window.startedAtMs < halfMs) return window;
-    const isNext = window !== undefined && nowMs - window.startedAtMs < windowMs;
-    const next: Window = {
-      startedAtMs: isNext ? window.startedAtMs + halfMs : nowMs,
-      requests: 0,
-      repeats: 0,
-      previousRepeats: isNext ? window.repeats : 0,
-      previousRequests: isNext ? window.requests : 0,
-    };
-    windows.set(service, next);
-    return next;
+    let account = accounts.get(service);
+    if (account === undefined) {
+      account = { requestsAtMs: [], repeatsAtMs: [] };
+      accounts.set(service, account);
+    }
+    dropBefore(account.requestsAtMs, nowMs - windowMs / 2);
+    dropBefore(account.repeatsAtMs, nowMs - windowMs);
+    return account;
   };
 
   return {
     recordRequest: (service) => {
-      findWindow(service).requests += 1;
+      findAccount(service).requestsAtMs.push(clock.monotonicMs());
     },
     takeRepeat: (service) => {
-      const window = findWindow(service);
-      const requests = window.requests + window.previousRequests;
-      const allowed = SAFE_PART * (ratio * requests + extra / hosts);
-      if (window.repeats + window.previousRepeats + 1 > allowed) return false;
-      window.repeats += 1;
+      const { requestsAtMs, repeatsAtMs } = findAccount(service);
+      const allowed = ratio * requestsAtMs.length + (SAFE_PART * extra) / hosts;
+      if (repeatsAtMs.length + 1 > allowed) return false;
+      repeatsAtMs.push(clock.monotonicMs());
       return true;
     },
     setShare: (count) => {
--- /dev/null
+++ b/tests/support/platformFleet.ts
@@ -0,0 +1,189 @@
+import { Agent, request as sendRequest } from 'undici';
+import { startPlatformHost, type PlatformHost } from '../../platform/startPlatformHost.js';
+import {
+  startPlatformEngine,
+  type PlatformEngine,
+  type PlatformEngineOptions,
+} from './platformEngine.js';
+import { startPlatformStore, type PlatformStore } from './platformStore.js';
+import { waitUntil } from './waitUntil.js';
+
+/** Key of the only organisation. */
+export const KEY = 'key-of-depots';
+
+const ROUTES = {
+  '/chat/': { route_type: 'stream', service: 'llm' },
+  '/plan/': { route_type: 'stream', service: 'llm', resumable: true, max_attempts: 3 },
+  '/certs/': { route_type: 'unsafe', service: 'certs' },
+  '/lookup/': { route_type: 'safe', service: 'certs', max_attempts: 2 },
+} as const;
+
+/** Builds a configuration as the operators write it. */
+export function buildConfiguration(version: number, change: Record<string, unknown> = {}): unknown {
+  return {
+    version,
+    routes: Object.entries(ROUTES).map(([prefix, route]) => ({
+      name: prefix,
+      host: 'depots.example',
+      prefix,
+      timeout_ms: 3000,
+      target_latency_ms: 400,
+      priority: 1,
+      max_attempts: 1,
+      ...route,
+    })),
+    services: [
+      {
+        name: 'llm',
+        max_connections: 100,
+        engine: {
+          slots: 8,
+          kv_capacity: 200_000,
+          weights_mb: 200_000,
+          adapter_slots: 2,
+          loads_per_s: 2,
+          models: [
+            { name: 'oak', weights_mb: 60_000, load_s: 0.1, adapters: 8, adapter_mb: 12 },
+            { name: 'pine', weights_mb: 60_000, load_s: 0.1, adapters: 0, adapter_mb: 12 },
+          ],
+        },
+      },
+      { name: 'certs', max_connections: 100 },
+    ],
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout_ms: 3000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [
+      {
+        name: 'depots',
+        api_keys: [KEY],
+        plain_tokens: 10,
+        rate_per_s: 10_000_000,
+        burst: 10_000_000,
+      },
+    ],
+    ...change,
+  };
+}
+
+/** A fleet of hosts in this process before a stand-in store and stand-in servers. */
+export interface PlatformFleet {
+  store: PlatformStore;
+  engines: PlatformEngine[];
+  hosts: PlatformHost[];
+  addEngine: (options: PlatformEngineOptions) => Promise<PlatformEngine>;
+  close: () => Promise<void>;
+}
+
+/** Options of a request of a test's caller. */
+export interface SendOptions {
+  id?: string;
+  method?: string;
+  headers?: Record<string, string>;
+  body?: string;
+  host?: PlatformHost;
+  agent?: Agent;
+}
+
+/** An answer as a caller got it; `isWhole` is false when it was cut. */
+export interface ReceivedAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: string;
+  isWhole: boolean;
+}
+
+let nextRequest = 0;
+
+/** Sends one request to a host and takes its answer, whole or cut. */
+export async function sendTo(
+  host: PlatformHost,
+  path: string,
+  options: SendOptions = {},
+): Promise<ReceivedAnswer> {
+  nextRequest += 1;
+  const { id = `r${nextRequest}`, method = 'POST', headers = {}, body, agent } = options;
+  const isStream = path.startsWith('/chat/') || path.startsWith('/plan/');
+  const answer = await sendRequest(`http://127.0.0.1:${host.callerPort}${path}`, {
+    method: method as 'POST',
+    dispatcher: agent,
+    headers: {
+      host: 'depots.example',
+      authorization: `Bearer ${KEY}`,
+      'request-id': id,
+      'deadline-ms': '3000',
+      ...(isStream ? { accept: 'text/event-stream', model: 'oak', 'token-count': '100,20' } : {}),
+      ...headers,
+    },
+    body,
+  });
+  let text = '';
+  let isWhole = true;
+  try {
+    for await (const chunk of answer.body as AsyncIterable<Buffer>) text += chunk.toString();
+  } catch {
+    isWhole = false;
+  }
+  return { status: answer.statusCode, headers: answer.headers, body: text, isWhole };
+}
+
+/** Starts a host against a store; it is ready once it answers so. */
+export function startHost(store: PlatformStore, name: string): Promise<PlatformHost> {
+  const anywhere = { address: '127.0.0.1', port: 0 };
+  return startPlatformHost({
+    host: name,
+    dataCentre: 'a',
+    callers: anywhere,
+    ready: anywhere,
+    store: store.endpoint,
+    storeTimeoutMs: 500,
+    peerPort: 0,
+    metricsPort: 0,
+    repeatRatio: 0.2,
+    repeatExtra: 400,
+    repeatWindowSeconds: 10,
+    leaseMs: 300,
+    graceSeconds: 6,
+    logLinesPerSecond: 1,
+  });
+}
+
+/** Reads whether the balancer would send connections to a host. */
+export async function readReady(host: PlatformHost): Promise<boolean> {
+  const answer = await sendRequest(`http://127.0.0.1:${host.readyPort}/api/ready`);
+  await answer.body.dump();
+  return answer.statusCode === 200;
+}
+
+/** Starts a fleet and waits until it serves. */
+export async function startPlatformFleet(
+  hostCount: number,
+  engines: readonly PlatformEngineOptions[],
+): Promise<PlatformFleet> {
+  const store = await startPlatformStore();
+  store.put('op/config', buildConfiguration(1));
+  const fleet: PlatformFleet = {
+    store,
+    engines: [],
+    hosts: [],
+    addEngine: async (options) => {
+      const engine = await startPlatformEngine(options);
+      fleet.engines.push(engine);
+      store.put(`servers/${engine.id}`, engine.describe());
+      return engine;
+    },
+    close: async () => {
+      await Promise.all(fleet.hosts.map((host) => host.stop()));
+      await Promise.all(fleet.engines.map((engine) => engine.close()));
+      await store.close();
+    },
+  };
+  for (const options of engines) await fleet.addEngine(options);
+  for (let index = 1; index <= hostCount; index += 1)
+    fleet.hosts.push(await startHost(store, `host-${index}`));
+  for (const host of fleet.hosts) await waitUntil('a host is ready', () => readReady(host));
+  return fleet;
+}
