Tell rushes of an organisation at once, and leave unheard hosts their part

Change: spending of 5 % of a burst is told within 40 ms; the holder leaves unheard hosts what they refill by themselves. Ruled out: restarts (none before 14 s). Tests: buckets with silent hosts, rushes.

--- /dev/null
+++ b/src/decisions/serving/computeOwnPart/index.ts
@@ -0,0 +1,9 @@
+const EVEN_PART = 0.5; // callers of a lost host come to others, so that half is shared evenly
+
+/**
+ * Computes the part of an organisation's rate that a host refills by itself while it does not hear
+ * the fleet: half of it even, half as it was used. The parts of all hosts add up to one.
+ */
+export function computeOwnPart(hosts: number, share: number): number {
+  return EVEN_PART / Math.max(1, hosts) + (1 - EVEN_PART) * share;
+}
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -230,5 +230,9 @@
       'planned stop done',
     );
   };
-  return { callerPort, isReady: () => !isStopping && configuration !== undefined && hasServers, stop };
+  return {
+    callerPort,
+    isReady: () => !isStopping && configuration !== undefined && hasServers,
+    stop,
+  };
 }
--- a/src/serving/createFleetBuckets/index.ts
+++ b/src/serving/createFleetBuckets/index.ts
@@ -1,13 +1,19 @@
 import type { Clock } from '../../ports/clock.js';
+import { computeOwnPart } from '../../decisions/serving/computeOwnPart/index.js';
 import type { ServingOrganisation } from '../../ports/serving.js';
-import type { FleetReport, FleetView } from '../fleetMessages.js';
+import type { FleetView, HostAdmissions } from '../fleetMessages.js';
 
 /** The fleet's buckets, as the holder of the command keeps them from the hosts' reports. */
 export interface FleetBuckets {
   setOrganisations: (organisations: readonly ServingOrganisation[]) => void;
+  /** Leaves to hosts that are not heard what they refill by themselves. */
+  setUnheard: (hosts: readonly string[], hostCount: number) => void;
   /** Takes off what a host has admitted since its report before. */
-  record: (report: FleetReport, before: FleetReport | undefined) => void;
-  describe: (host: string) => Pick<FleetView, 'levels' | 'shares'>;
+  record: (report: HostAdmissions) => void;
+  describe: (host: string) => Pick<FleetView, 'levels' | 'shares' | 'ownAdmitted'>;
+  /** Whether an organisation has spent so much since the levels were told that hosts must hear of it. */
+  isRushed: () => boolean;
+  markTold: () => void;
 }
 
 /** Options of the fleet's buckets. */
@@ -24,21 +30,21 @@
   atMs: number;
   /** What each host admitted lately. */
   admitted: Map<string, number>;
+  /** Tokens spent since the levels were told. */
+  untold: number;
 }
 
+/** Part of a burst that may be spent before others must hear of it. */
+export const RUSH_PART = 0.05; // hosts together overspend by a few such parts
 const SHARE_KEEP = 0.98; // shares follow the last ten seconds of reports
 
 /** Creates the fleet's buckets. */
 export function createFleetBuckets(options: FleetBucketsOptions): FleetBuckets {
   const { clock } = options;
   const buckets = new Map<string, Bucket>();
-
-  const refill = (bucket: Bucket): void => {
-    const nowMs = clock.monotonicMs();
-    const added = (bucket.rate * (nowMs - bucket.atMs)) / 1000;
-    bucket.level = Math.min(bucket.burst, bucket.level + added);
-    bucket.atMs = nowMs;
-  };
+  const reports = new Map<string, HostAdmissions>();
+  let unheard: readonly string[] = [];
+  let hostCount = 1;
 
   const computeShare = (bucket: Bucket, host: string): number => {
     const total = [...bucket.admitted.values()].reduce((sum, tokens) => sum + tokens, 0);
@@ -47,20 +53,45 @@
       : 1 / Math.max(1, bucket.admitted.size);
   };
 
+  const refill = (bucket: Bucket): void => {
+    const nowMs = clock.monotonicMs();
+    const left = unheard.reduce(
+      (sum, host) => sum - computeOwnPart(hostCount, computeShare(bucket, host)),
+      1,
+    );
+    const added = (Math.max(0, left) * bucket.rate * (nowMs - bucket.atMs)) / 1000;
+    bucket.level = Math.min(bucket.burst, bucket.level + added);
+    bucket.atMs = nowMs;
+  };
+
   return {
     setOrganisations: (organisations) => {
       for (const { name, rate, burst } of organisations) {
         const bucket = buckets.get(name);
         if (bucket === undefined) {
           const level = Math.min(burst, options.levels.get(name) ?? 0);
-          buckets.set(name, { level, rate, burst, atMs: clock.monotonicMs(), admitted: new Map() });
+          buckets.set(name, {
+            level,
+            rate,
+            burst,
+            atMs: clock.monotonicMs(),
+            admitted: new Map(),
+            untold: 0,
+          });
           continue;
         }
         refill(bucket);
         Object.assign(bucket, { rate, burst, level: Math.min(bucket.level, burst) });
       }
     },
-    record: (report, before) => {
+    setUnheard: (hosts, count) => {
+      for (const bucket of buckets.values()) refill(bucket);
+      unheard = hosts;
+      hostCount = count;
+    },
+    record: (report) => {
+      const before = reports.get(report.host);
+      reports.set(report.host, report);
       const isSame = before?.incarnation === report.incarnation;
       for (const [name, tokens] of Object.entries(report.admitted)) {
         const bucket = buckets.get(name);
@@ -69,6 +100,7 @@
         const known = isSame ? (before.admitted[name] ?? 0) : before === undefined ? tokens : 0;
         refill(bucket);
         bucket.level -= tokens - known;
+        bucket.untold += tokens - known;
         const lately = (bucket.admitted.get(report.host) ?? 0) * SHARE_KEEP + tokens - known;
         bucket.admitted.set(report.host, lately);
       }
@@ -81,7 +113,11 @@
         levels[name] = bucket.level;
         shares[name] = computeShare(bucket, host);
       }
-      return { levels, shares };
+      return { levels, shares, ownAdmitted: reports.get(host)?.admitted ?? {} };
+    },
+    isRushed: () => [...buckets.values()].some(({ untold, burst }) => untold > RUSH_PART * burst),
+    markTold: () => {
+      for (const bucket of buckets.values()) bucket.untold = 0;
     },
   };
 }
--- /dev/null
+++ b/src/serving/createFleetBuckets/test.ts
@@ -0,0 +1,54 @@
+import t from 'tap';
+import { createFleetBuckets } from './index.js';
+
+const depots = { name: 'depots', rate: 10_000, burst: 10_000, plainTokens: 1 };
+const report = (host: string, tokens: number) => ({
+  host,
+  incarnation: `${host}/1`,
+  admitted: { depots: tokens },
+});
+
+t.test('leaves to hosts that are not heard what they refill by themselves', (t) => {
+  let nowMs = 0;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const buckets = createFleetBuckets({ clock, levels: new Map() });
+  buckets.setOrganisations([depots]);
+  for (const host of ['a', 'b', 'c', 'd']) buckets.record(report(host, 0));
+  for (const host of ['a', 'b', 'c', 'd']) buckets.record(report(host, 100));
+  nowMs = 400;
+  buckets.setUnheard(['b', 'c', 'd'], 4);
+  const before = buckets.describe('a').levels['depots'] ?? 0;
+  nowMs = 800;
+  const after = buckets.describe('a').levels['depots'] ?? 0;
+  t.equal(Math.round(after - before), 1000, 'a quarter of the rate');
+  t.end();
+});
+
+t.test('counts a restarted host from zero, and a refund back', (t) => {
+  const clock = { monotonicMs: () => 0, wallMs: () => 0 };
+  const buckets = createFleetBuckets({ clock, levels: new Map([['depots', 8000]]) });
+  buckets.setOrganisations([depots]);
+  buckets.record(report('a', 5000));
+  t.equal(buckets.describe('a').levels['depots'], 8000, 'spent before this holder led');
+  buckets.record(report('a', 6000));
+  t.equal(buckets.describe('a').levels['depots'], 7000);
+  buckets.record(report('a', 5500));
+  t.equal(buckets.describe('a').levels['depots'], 7500);
+  buckets.record({ ...report('a', 300), incarnation: 'a/2' });
+  t.equal(buckets.describe('a').levels['depots'], 7200);
+  t.end();
+});
+
+t.test('calls hosts when much was spent since they were told', (t) => {
+  const clock = { monotonicMs: () => 0, wallMs: () => 0 };
+  const buckets = createFleetBuckets({ clock, levels: new Map([['depots', 8000]]) });
+  buckets.setOrganisations([depots]);
+  buckets.record(report('a', 0));
+  buckets.record(report('a', 300));
+  t.notOk(buckets.isRushed());
+  buckets.record(report('a', 700));
+  t.ok(buckets.isRushed());
+  buckets.markTold();
+  t.notOk(buckets.isRushed());
+  t.end();
+});
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -2,11 +2,12 @@
 import type { Log } from '../../ports/log.js';
 import type { ModelOrders } from '../../ports/modelOrders.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import { RUSH_PART } from '../createFleetBuckets/index.js';
 import { createFleetLink, type FleetConnection } from '../createFleetLink/index.js';
 import type { OrganisationRates } from '../createOrganisationRates/index.js';
 import type { RepeatBudget } from '../createRepeatBudget/index.js';
 import type { ServerBook, ServerLoad } from '../createServerBook/index.js';
-import type { FleetMessage, FleetReport, FleetView } from '../fleetMessages.js';
+import type { FleetLevelsMessage, FleetMessage, FleetReport, FleetView } from '../fleetMessages.js';
 import type { FleetHost, Membership } from '../keepMembership/index.js';
 import { leadFleet, type FleetLead } from '../leadFleet/index.js';
 import type { ServingMetrics } from '../servingMetrics/index.js';
@@ -47,6 +48,8 @@
 }
 
 const ROUND_MS = 200; // figures older than that misplace a burst; see docs/platform.md
+const RUSH_MS = 40; // a hot organisation spends a few percent of its burst meanwhile
+const RUSH_HOST_MS = 5; // each message to a host takes some of the time of a small host
 const GRANT_MS = 700; // an order, one look again at the engine, and two messages
 const VIEW_FRESH_MS = 1500; // several rounds; later nobody is taken to place models
 const FED_FRESH_MS = 700; // three rounds; then this host watches the store itself
@@ -124,11 +127,7 @@
         options.onServers(view.servers, view.removed);
     }
     repeats.setShare(view.hosts);
-    rates.setFleet({
-      levels: new Map(Object.entries(view.levels)),
-      own: new Map(Object.entries(view.ownAdmitted)),
-      shares: new Map(Object.entries(view.shares)),
-    });
+    applyLevels(view);
     rates.setHosts(view.hosts);
   };
 
@@ -155,7 +154,8 @@
       lead?.recordReport(message);
       if (message.version > (configuration?.version ?? 0))
         connection.send({ type: 'configurationRequest' });
-    } else if (message.type === 'wish') void answerWish(message, connection);
+    } else if (message.type === 'admissions') lead?.recordAdmissions(message);
+    else if (message.type === 'wish') void answerWish(message, connection);
     else if (message.type === 'configurationRequest') passConfiguration(connection);
     else if (message.type === 'configuration') options.onConfiguration(message.value);
   };
@@ -165,7 +165,8 @@
       applyView(message);
       if (message.version > (configuration?.version ?? 0))
         connection.send({ type: 'configurationRequest' });
-    } else if (message.type === 'grant')
+    } else if (message.type === 'levels') applyLevels(message);
+    else if (message.type === 'grant')
       grants.get(message.id)?.(
         message.server === undefined
           ? undefined
@@ -209,6 +210,12 @@
       return;
     }
     lead.recordReport(report);
+    lead.setListed(
+      options
+        .membership()
+        .listHosts()
+        .map(({ name }) => name),
+    );
     const hosts = countHosts();
     const current = isCurrent();
     for (const [name, connection] of connections)
@@ -217,6 +224,39 @@
   };
   const rounds = setInterval(runRound, ROUND_MS);
 
+  const applyLevels = (message: Omit<FleetLevelsMessage, 'type'>): void =>
+    rates.setFleet({
+      levels: new Map(Object.entries(message.levels)),
+      own: new Map(Object.entries(message.ownAdmitted)),
+      shares: new Map(Object.entries(message.shares)),
+    });
+
+  let rushedAtMs = 0;
+  /** Tells what an organisation in a rush has spent, so that hosts don't spend the same tokens. */
+  const tellRush = (): void => {
+    const nowMs = clock.monotonicMs();
+    if (nowMs - rushedAtMs < RUSH_HOST_MS * connections.size) return;
+    if (lead === undefined && !rates.isRushed(RUSH_PART)) return;
+    rushedAtMs = nowMs;
+    const admitted = Object.fromEntries(rates.getAdmitted());
+    const admissions = { host, incarnation: options.incarnation, admitted };
+    rates.markReported();
+    if (lead === undefined) {
+      link.sendToHolder({ type: 'admissions', ...admissions });
+      return;
+    }
+    lead.recordAdmissions(admissions);
+    const own = lead.buildLevels(host);
+    if (own === undefined) return;
+    for (const [name, connection] of connections) {
+      const levels = lead.buildLevels(name);
+      if (levels !== undefined) connection.send(levels);
+    }
+    applyLevels(own);
+    lead.markLevelsTold();
+  };
+  const rushes = setInterval(tellRush, RUSH_MS);
+
   const sendWish = (wish: AdapterWish): Promise<AdapterGrant | undefined> =>
     new Promise((resolve) => {
       wishId += 1;
@@ -310,6 +350,7 @@
     },
     close: () => {
       clearInterval(rounds);
+      clearInterval(rushes);
       lead?.stop();
       link.close();
     },
--- a/src/serving/createOrganisationRates/index.ts
+++ b/src/serving/createOrganisationRates/index.ts
@@ -1,3 +1,4 @@
+import { computeOwnPart } from '../../decisions/serving/computeOwnPart/index.js';
 import type { Clock } from '../../ports/clock.js';
 import type { ServingOrganisation } from '../../ports/serving.js';
 
@@ -21,6 +22,9 @@
   refund: (organisation: string, tokens: number) => void;
   /** Tokens that this host has admitted since its start, by organisation. */
   getAdmitted: () => Map<string, number>;
+  /** Whether an organisation has spent so much since `markReported` that the fleet must hear of it. */
+  isRushed: (part: number) => boolean;
+  markReported: () => void;
   /** Levels of the buckets that this host has followed. */
   getLevels: () => Map<string, number>;
   /** Takes the fleet's buckets as the holder of the command keeps them. */
@@ -48,6 +52,8 @@
   share: number;
   /** When those that were turned away so far will have been let in. */
   promisedAtMs: number;
+  /** Tokens admitted when the fleet was told last. */
+  reported: number;
 }
 
 const FLEET_FRESH_MS = 1000; // a few rounds of the leader
@@ -69,7 +75,7 @@
   const isFleetHeard = (nowMs: number): boolean => nowMs - fleetAtMs <= FLEET_FRESH_MS;
 
   const refill = (account: Account, nowMs: number): void => {
-    const part = isFleetHeard(nowMs) ? 1 : 0.5 / hosts + 0.5 * account.share;
+    const part = isFleetHeard(nowMs) ? 1 : computeOwnPart(hosts, account.share);
     const added = (account.rate * part * (nowMs - account.atMs)) / 1000;
     account.level = Math.min(account.burst, account.level + added);
     account.atMs = nowMs;
@@ -82,7 +88,16 @@
       const known = fleet?.levels.get(name);
       const earned = (rate * (nowMs - startedAtMs)) / 1000 / hosts;
       const level = known ?? Math.min(burst / hosts, earned);
-      account = { level, atMs: nowMs, rate, burst, admitted: 0, share, promisedAtMs: 0 };
+      account = {
+        level,
+        atMs: nowMs,
+        rate,
+        burst,
+        admitted: 0,
+        share,
+        promisedAtMs: 0,
+        reported: 0,
+      };
       accounts.set(name, account);
     }
     refill(account, nowMs);
@@ -118,6 +133,13 @@
       account.admitted -= tokens;
     },
     getAdmitted: () => new Map([...accounts].map(([name, { admitted }]) => [name, admitted])),
+    isRushed: (part) =>
+      [...accounts.values()].some(
+        ({ admitted, reported, burst }) => admitted - reported > part * burst,
+      ),
+    markReported: () => {
+      for (const account of accounts.values()) account.reported = account.admitted;
+    },
     getLevels: () => {
       const nowMs = clock.monotonicMs();
       for (const account of accounts.values()) refill(account, nowMs);
--- a/src/serving/createOrganisationRates/test.ts
+++ b/src/serving/createOrganisationRates/test.ts
@@ -39,7 +39,7 @@
     if (!isHeard) continue;
     hosts.forEach((rates, index) => {
       const report = buildReport(index, rates);
-      buckets.record(report, reports.get(index));
+      buckets.record(report);
       reports.set(index, report);
     });
     hosts.forEach((rates, index) => {
@@ -112,3 +112,17 @@
   t.ok(rates.charge({ ...depots, rate: 0 }, 1e9).isWithin);
   t.end();
 });
+
+t.test('says that the fleet must hear of a rush, once', (t) => {
+  let nowMs = 0;
+  const rates = createOrganisationRates({ clock: { monotonicMs: () => nowMs, wallMs: () => 0 } });
+  rates.setHosts(1);
+  nowMs = 5000;
+  rates.charge(depots, 400);
+  t.notOk(rates.isRushed(0.05));
+  rates.charge(depots, 400);
+  t.ok(rates.isRushed(0.05));
+  rates.markReported();
+  t.notOk(rates.isRushed(0.05));
+  t.end();
+});
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -76,6 +76,20 @@
     server: name.optional(),
     readyInMs: z.number(),
   }),
+  /** What a host has admitted, sent between reports while an organisation is in a rush. */
+  z.object({
+    type: z.literal('admissions'),
+    host: name,
+    incarnation: name,
+    admitted: totals,
+  }),
+  /** The fleet's buckets, sent between views while an organisation is in a rush. */
+  z.object({
+    type: z.literal('levels'),
+    levels: totals,
+    shares: totals,
+    ownAdmitted: totals,
+  }),
   z.object({ type: z.literal('configurationRequest') }),
   z.object({ type: z.literal('configuration'), value: z.instanceof(Uint8Array) }),
 ]);
@@ -83,6 +97,9 @@
 /** A message between hosts of a fleet. */
 export type FleetMessage = z.infer<typeof fleetMessage>;
 export type FleetReport = Extract<FleetMessage, { type: 'report' }>;
+export type FleetLevelsMessage = Extract<FleetMessage, { type: 'levels' }>;
+/** What a host has admitted since its start. */
+export type HostAdmissions = Pick<FleetReport, 'host' | 'incarnation' | 'admitted'>;
 export type FleetView = Extract<FleetMessage, { type: 'view' }>;
 
 /** Parses a decoded frame; throws when it is no message of the fleet. */
--- a/src/serving/leadFleet/index.ts
+++ b/src/serving/leadFleet/index.ts
@@ -6,7 +6,12 @@
 import type { BackendServer, EnginePool, ServingConfiguration } from '../../ports/serving.js';
 import { createFleetBuckets } from '../createFleetBuckets/index.js';
 import { createEngineRoom, type EngineRoom } from '../createEngineRoom/index.js';
-import type { FleetReport, FleetView } from '../fleetMessages.js';
+import type {
+  FleetLevelsMessage,
+  FleetReport,
+  FleetView,
+  HostAdmissions,
+} from '../fleetMessages.js';
 import type { ServingMetrics } from '../servingMetrics/index.js';
 import type { AdapterGrant, AdapterWish } from '../types.js';
 
@@ -28,6 +33,12 @@
   setConfiguration: (configuration: ServingConfiguration) => void;
   setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
   recordReport: (report: FleetReport) => void;
+  recordAdmissions: (admissions: HostAdmissions) => void;
+  /** Levels that a host must hear of between two views; undefined when nothing presses. */
+  buildLevels: (host: string) => FleetLevelsMessage | undefined;
+  markLevelsTold: () => void;
+  /** Takes which hosts are listed in the fleet now. */
+  setListed: (hosts: readonly string[]) => void;
   dropHost: (host: string) => void;
   /** Builds what one host is told; it is told of each engine's adapters when they changed. */
   buildView: (host: string, hosts: number, isCurrent: boolean) => FleetView;
@@ -46,6 +57,7 @@
 
 const PLAN_MS = 300; // a few plans within the time of one load
 const HOST_FRESH_MS = 1500; // figures of a host that is silent for longer count no more
+const HOST_GONE_MS = 10_000; // a host that nobody hears may serve on until its callers have left it
 const DEMAND_HALF_LIFE_MS = 2500; // demand moves within some seconds
 const MOST_LOADS_AT_ONCE = 3; // what the weight store of the smallest site gives full speed
 const CEILING_PART = 0.9; // the weight store counts the loads at other moments than this host
@@ -80,6 +92,8 @@
   let servers: ReadonlyMap<string, BackendServer> = new Map();
   let loadsAtMs: number[] = [];
   let firstServerAtMs = Infinity;
+  const listedAtMs = new Map<string, number>();
+  const startedAtMs = clock.monotonicMs();
   let isStopped = false;
 
   const listFresh = (): HostState[] => {
@@ -226,7 +240,7 @@
     },
     recordReport: (report) => {
       const known = hosts.get(report.host);
-      buckets.record(report, known?.report);
+      buckets.record(report);
       for (const [key, work] of Object.entries(report.demand))
         demand.set(key, (demand.get(key) ?? 0) + work);
       hosts.set(report.host, {
@@ -236,6 +250,20 @@
         toldServers: known?.toldServers ?? new Map<string, BackendServer>(),
       });
     },
+    setListed: (listed) => {
+      const nowMs = clock.monotonicMs();
+      for (const name of listed) listedAtMs.set(name, nowMs);
+      const unheard = [...listedAtMs].flatMap(([name, atMs]) => {
+        const heardAtMs = Math.max(hosts.get(name)?.atMs ?? -Infinity, startedAtMs);
+        const isSilent = name !== options.host && nowMs - heardAtMs > HOST_FRESH_MS;
+        return isSilent && nowMs - Math.max(atMs, heardAtMs) < HOST_GONE_MS ? [name] : [];
+      });
+      buckets.setUnheard(unheard, Math.max(1, listed.length));
+    },
+    recordAdmissions: buckets.record,
+    buildLevels: (host) =>
+      buckets.isRushed() ? { type: 'levels', ...buckets.describe(host) } : undefined,
+    markLevelsTold: buckets.markTold,
     dropHost: (host) => {
       hosts.get(host)?.told.clear();
       hosts.get(host)?.toldServers.clear();
@@ -258,7 +286,6 @@
         loads: sumLoads(),
         ...buckets.describe(host),
         ownLoads: state?.report.loads ?? {},
-        ownAdmitted: state?.report.admitted ?? {},
         adapters,
         leavingModels: [...rooms].flatMap(([id, room]) =>
           room.listLeaving().map((model) => `${id}/${model}`),
