Load copies by what the fleet gains, let urgent requests past, tell callers when a model is there

Cause: idle models were loaded before models in great demand, loads waited for three places whatever the weight store gives, gate checks were refused for a backlog of patient reports that engines put behind them, and callers were held until they left for a model that took seconds to load. Change: moves by gain, copies in use leave last, loads at once from rate and time of a load, urgent backlog counted apart, a caller is told the load's end as Retry-After. Ruled out: routing (busiest/mean was 1.8 with enough copies).

--- a/src/decisions/copies/planCopies/index.ts
+++ b/src/decisions/copies/planCopies/index.ts
@@ -8,6 +8,11 @@
   gainOverLoss?: number;
 }
 
+const RARE_PART = 0.25; // of the mean load of an engine: a rare model goes before a small relief
+const IDLE_PART = 0.01;
+const BUSY_PART = 0.3; // a copy in use leaves only when its longest stream has ended
+const LEAST_LOAD = 1; // keeps the parts above zero before any demand
+
 interface Plan {
   engines: readonly CopyEngine[];
   models: ReadonlyMap<string, CopyModel>;
@@ -59,11 +64,15 @@
       const isIdle = (plan.models.get(name)?.demand ?? 0) === 0;
       return copies > 1 || (mayDropLast && isIdle);
     })
-    .sort((one, other) => computeLoss(plan, one) - computeLoss(plan, other));
+    .sort(
+      (one, other) =>
+        Number(engine.busyModels.has(one)) - Number(engine.busyModels.has(other)) ||
+        computeLoss(plan, one) - computeLoss(plan, other),
+    );
   for (const name of leavable) {
     if (free >= model.weightsMb) break;
     free += plan.models.get(name)?.weightsMb ?? 0;
-    loss += computeLoss(plan, name);
+    loss += computeLoss(plan, name) + (engine.busyModels.has(name) ? BUSY_PART * plan.meanLoad : 0);
     unload.push(name);
   }
   return free >= model.weightsMb ? { unload, loss } : undefined;
@@ -89,10 +98,19 @@
   return best;
 }
 
+/** What the fleet gains by one more copy of a model. */
+function computeGain(plan: Plan, model: CopyModel): number {
+  if ((plan.copies.get(model.name) ?? 0) > 0)
+    return computeCopyLoad(plan, model.name) - computeCopyLoad(plan, model.name, 1);
+  // Without a copy nothing of the demand is served, and callers of a rare model have nowhere to go.
+  return 2 * model.demand + (model.demand > 0 ? RARE_PART : IDLE_PART) * plan.meanLoad;
+}
+
 /**
- * Plans the next copy to load: first a model that is asked for and has none, then any model that
- * has none where room is left, then the model whose copies bear most. Undefined when no move is
- * worth its load. Load pattern: demand moves on to models with one copy within seconds.
+ * Plans the next copy to load, the one by which the fleet gains most: models that are asked for
+ * and have none, and models whose copies bear most. Models that nobody asks for come last, where
+ * room is left. Undefined when no move is worth its load. Load pattern: demand moves on to models
+ * with one copy, or none, within seconds, while other models stay rare.
  */
 export function planCopies(
   engines: readonly CopyEngine[],
@@ -105,21 +123,15 @@
     engines,
     models: new Map(models.map((model) => [model.name, model])),
     copies: countCopies(engines),
-    meanLoad: total / Math.max(1, engines.length),
+    meanLoad: Math.max(LEAST_LOAD, total / Math.max(1, engines.length)),
   };
-  const byDemand = [...models].sort((one, other) => other.demand - one.demand);
-  for (const model of byDemand) {
-    if ((plan.copies.get(model.name) ?? 0) > 0) continue;
-    const move = chooseMove(plan, model, model.demand > 0);
-    if (move !== undefined) return { engine: move.engine, load: move.load, unload: move.unload };
-  }
-  const byCopyLoad = byDemand
-    .filter(({ name, demand }) => demand > 0 && (plan.copies.get(name) ?? 0) > 0)
-    .sort((one, other) => computeCopyLoad(plan, other.name) - computeCopyLoad(plan, one.name));
-  for (const model of byCopyLoad) {
-    const gain = computeCopyLoad(plan, model.name) - computeCopyLoad(plan, model.name, 1);
-    if (gain < leastGain * plan.meanLoad) return undefined;
-    const move = chooseMove(plan, model, false);
+  const byGain = models
+    .map((model) => ({ model, gain: computeGain(plan, model) }))
+    .sort((one, other) => other.gain - one.gain);
+  for (const { model, gain } of byGain) {
+    const isMissing = (plan.copies.get(model.name) ?? 0) === 0;
+    if (!isMissing && gain < leastGain * plan.meanLoad) continue;
+    const move = chooseMove(plan, model, isMissing && model.demand > 0);
     if (move !== undefined && gain > gainOverLoss * move.loss)
       return { engine: move.engine, load: move.load, unload: move.unload };
   }
--- a/src/decisions/copies/planCopies/test.ts
+++ b/src/decisions/copies/planCopies/test.ts
@@ -12,7 +12,14 @@
 
 function buildEngine(id: string, held: readonly CopyModel[], isFree = true): CopyEngine {
   const usedMb = held.reduce((sum, { weightsMb }) => sum + weightsMb, 0);
-  return { id, models: held.map(({ name }) => name), usedMb, capacityMb: CAPACITY_MB, isFree };
+  return {
+    id,
+    models: held.map(({ name }) => name),
+    usedMb,
+    capacityMb: CAPACITY_MB,
+    isFree,
+    busyModels: new Set(),
+  };
 }
 
 function applyMove(engines: readonly CopyEngine[], models: readonly CopyModel[], move: CopyMove) {
@@ -102,3 +109,35 @@
   t.equal(planCopies(even, models), undefined);
   t.end();
 });
+
+t.test('relieves a model in great demand before it loads rare ones', (t) => {
+  const models = [model('hot', 9000), model('rare', 3), model('idle', 0), model('spare', 0)];
+  const [hot, , , spare] = models as [CopyModel, CopyModel, CopyModel, CopyModel];
+  const engines = [buildEngine('a', [hot]), buildEngine('b', [spare]), buildEngine('c', [spare])];
+  t.equal(planCopies(engines, models)?.load, 'hot');
+  const calm = models.map((item) => (item.name === 'hot' ? { ...item, demand: 3 } : item));
+  t.equal(planCopies(engines, calm)?.load, 'rare');
+  t.end();
+});
+
+t.test('rather makes a copy leave that nobody uses', (t) => {
+  const models = [model('hot', 9000), model('one', 0), model('two', 0), model('three', 0)];
+  const [hot, one, two, three] = models as [CopyModel, CopyModel, CopyModel, CopyModel];
+  const engines = [
+    buildEngine('a', [hot]),
+    { ...buildEngine('b', [one, two, three]), busyModels: new Set(['one', 'two']) },
+    buildEngine('c', [one, two, three]),
+  ];
+  t.match(
+    planCopies(
+      [
+        engines[0] as CopyEngine,
+        engines[1] as CopyEngine,
+        { ...(engines[2] as CopyEngine), isFree: false },
+      ],
+      models,
+    )?.unload,
+    ['three'],
+  );
+  t.end();
+});
--- a/src/decisions/copies/types.ts
+++ b/src/decisions/copies/types.ts
@@ -3,6 +3,8 @@
   id: string;
   /** Models that it holds and that are not about to leave. */
   models: readonly string[];
+  /** Models with requests on their way. */
+  busyModels: ReadonlySet<string>;
   /** Megabytes that are taken: models that are there, coming or leaving, and room for adapters. */
   usedMb: number;
   capacityMb: number;
--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -15,8 +15,9 @@
   request: RoutedRequest,
   keepsPrompt: boolean,
 ): number {
-  const { active, slots, backlogTokens, heldTokens, memoryTokens, failureShare, slowness } =
-    candidate;
+  const { active, slots, heldTokens, memoryTokens, failureShare, slowness } = candidate;
+  // Engines take urgent requests first.
+  const backlogTokens = request.isUrgent ? candidate.urgentTokens : candidate.backlogTokens;
   const missing = keepsPrompt ? 0 : request.sharedTokens;
   const reading = (backlogTokens + missing + request.ownTokens) / PROMPT_TOKENS_PER_MS;
   const batch = FULL_BATCH_MS * Math.min(1, active / slots) * (memoryTokens > 0 ? 1 : 0);
--- a/src/decisions/serving/rankServers/test.ts
+++ b/src/decisions/serving/rankServers/test.ts
@@ -7,6 +7,7 @@
   active: 0,
   slots: 64,
   backlogTokens: 0,
+  urgentTokens: 0,
   heldTokens: 0,
   memoryTokens: 232_000,
   holdsAdapter: true,
@@ -16,7 +17,12 @@
   slowness: 1,
   ...change,
 });
-const report: RoutedRequest = { affinityKey: 'm/depot-7', sharedTokens: 6300, ownTokens: 2900 };
+const report: RoutedRequest = {
+  affinityKey: 'm/depot-7',
+  sharedTokens: 6300,
+  ownTokens: 2900,
+  isUrgent: false,
+};
 const rank = (candidates: ServerCandidate[], request = report) =>
   rankServers(candidates, request, () => 0.5).map(({ candidate }) => candidate.id);
 
@@ -38,7 +44,7 @@
 });
 
 t.test('avoids an engine that fails, is slow, or has no memory left', (t) => {
-  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 800 };
+  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 800, isUrgent: false };
   t.equal(rank([engine('a', { failureShare: 0.5 }), engine('b', { active: 20 })], plain)[0], 'b');
   t.equal(rank([engine('a', { slowness: 4 }), engine('b', { active: 20 })], plain)[0], 'b');
   t.equal(rank([engine('a', { heldTokens: 232_000 }), engine('b', { active: 40 })], plain)[0], 'b');
@@ -46,7 +52,7 @@
 });
 
 t.test('takes a plain server with free places before one with a queue', (t) => {
-  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 0 };
+  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 0, isUrgent: false };
   const busy = engine('busy', { slots: 6, active: 9, memoryTokens: 0, runMs: 40 });
   const far = engine('far', { slots: 6, active: 3, memoryTokens: 0, runMs: 40, isNear: false });
   t.equal(rank([busy, far], plain)[0], 'far');
@@ -54,9 +60,18 @@
 });
 
 t.test('prefers an engine that holds the adapter while it is not far behind', (t) => {
-  const chat = { affinityKey: '', sharedTokens: 0, ownTokens: 800 };
+  const chat = { affinityKey: '', sharedTokens: 0, ownTokens: 800, isUrgent: false };
   const without = engine('without', { holdsAdapter: false });
   t.equal(rank([without, engine('with', { backlogTokens: 500 })], chat)[0], 'with');
   t.equal(rank([without, engine('with', { backlogTokens: 5000 })], chat)[0], 'without');
   t.end();
 });
+
+t.test('sends an urgent request past a backlog of patient ones', (t) => {
+  const check = { affinityKey: '', sharedTokens: 0, ownTokens: 800, isUrgent: true };
+  const patient = engine('patient', { backlogTokens: 90_000 });
+  const urgent = engine('urgent', { backlogTokens: 20_000, urgentTokens: 20_000 });
+  t.equal(rank([patient, urgent], check)[0], 'patient');
+  t.equal(rank([patient, urgent], { ...check, isUrgent: false })[0], 'urgent');
+  t.end();
+});
--- a/src/decisions/serving/types.ts
+++ b/src/decisions/serving/types.ts
@@ -7,6 +7,8 @@
   slots: number;
   /** Prompt tokens of requests that have had no answer yet. */
   backlogTokens: number;
+  /** Those of urgent requests alone. */
+  urgentTokens: number;
   /** Tokens of running requests that can't yield. */
   heldTokens: number;
   /** Tokens that fit into its memory; 0 for servers without models. */
@@ -29,6 +31,8 @@
   affinityKey: string;
   /** Tokens at the start of the prompt that a server may have kept. */
   sharedTokens: number;
+  /** Whether engines take it before requests that are not urgent. */
+  isUrgent: boolean;
   /** Tokens that need memory of their own. */
   ownTokens: number;
 }
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -21,7 +21,7 @@
   setFence: (fence: number | undefined) => void;
   setConfiguration: (configuration: ServingConfiguration, value: Buffer) => void;
   setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
-  recordUse: (server: string, adapter: string, change: 1 | -1) => void;
+  recordUse: (server: string, name: string, change: 1 | -1) => void;
   /** Whether another host holds the command, hears the store and is heard. */
   isFed: () => boolean;
   /** Notes that the store answered one of the watches. */
@@ -55,18 +55,20 @@
 const FED_FRESH_MS = 700; // three rounds; then this host watches the store itself
 const WATCHES = 3; // configuration, servers, fleet
 const CURRENT_MS = 3000; // the longest wait of a watch, and a little
+const ORDER_MS = 700; // a plan, its announcement and the order
 const MODEL_POLL_MS = 40; // below the shortest objective by far
 
 function computeOthers(view: FleetView): Map<string, ServerLoad> {
   return new Map(
-    Object.entries(view.loads).map(([server, [active, backlog, held]]) => {
-      const own = view.ownLoads[server] ?? [0, 0, 0];
+    Object.entries(view.loads).map(([server, [active, backlog, held, urgent]]) => {
+      const own = view.ownLoads[server] ?? [0, 0, 0, 0];
       return [
         server,
         {
           active: Math.max(0, active - own[0]),
           backlogTokens: Math.max(0, backlog - own[1]),
           heldTokens: Math.max(0, held - own[2]),
+          urgentTokens: Math.max(0, urgent - own[3]),
         },
       ];
     }),
@@ -82,7 +84,8 @@
   let servers: ReadonlyMap<string, BackendServer> = new Map();
   let viewAtMs = -Infinity;
   let isHolderCurrent = false;
-  let loadingModels = new Set<string>();
+  /** Models that some engine is loading, and since when this host knows. */
+  const loadingSinceMs = new Map<string, number>();
   const answersAtMs = new Map<string, number>();
   const demand = new Map<string, number>();
   const uses = new Map<string, number>();
@@ -102,12 +105,17 @@
       loads: Object.fromEntries(
         [...book.getOwnLoads()].map(([server, load]) => [
           server,
-          [load.active, Math.round(load.backlogTokens), Math.round(load.heldTokens)],
+          [
+            load.active,
+            Math.round(load.backlogTokens),
+            Math.round(load.heldTokens),
+            Math.round(load.urgentTokens),
+          ],
         ]),
       ),
       admitted: Object.fromEntries(rates.getAdmitted()),
       demand: asked,
-      adaptersInUse: [...uses.keys()],
+      inUse: [...uses.keys()],
       silent: book.listSilent(),
     };
   };
@@ -120,7 +128,10 @@
     );
     book.setLeavingModels(new Set(view.leavingModels));
     book.setSuspects(new Set(view.suspects));
-    loadingModels = new Set(view.loadingModels);
+    for (const key of loadingSinceMs.keys())
+      if (!view.loadingModels.includes(key)) loadingSinceMs.delete(key);
+    for (const key of view.loadingModels)
+      if (!loadingSinceMs.has(key)) loadingSinceMs.set(key, viewAtMs);
     if (lead === undefined) {
       isHolderCurrent = view.isCurrent;
       if (view.servers.length + view.removed.length > 0)
@@ -296,10 +307,19 @@
         const key = `${service}/${model}`;
         demand.set(key, (demand.get(key) ?? 0) + work);
       },
+      estimateModelMs: (service, model) => {
+        if (!isPlacing()) return undefined;
+        const size = configuration?.services
+          .get(service)
+          ?.engines?.models.find(({ name }) => name === model);
+        if (size === undefined) return undefined;
+        const sinceMs = loadingSinceMs.get(`${service}/${model}`);
+        if (sinceMs === undefined) return size.loadMs + ORDER_MS;
+        return Math.max(MODEL_POLL_MS, sinceMs + size.loadMs + ORDER_MS - clock.monotonicMs());
+      },
       waitForModel: async (service, model, waitMs) => {
         const untilMs = clock.monotonicMs() + waitMs;
-        const isHopeless = (): boolean => !isPlacing() && !loadingModels.has(`${service}/${model}`);
-        while (clock.monotonicMs() < untilMs && !isHopeless()) {
+        while (clock.monotonicMs() < untilMs) {
           if (book.listCandidates({ service, model }).length > 0) return;
           await new Promise((resolve) => setTimeout(resolve, MODEL_POLL_MS));
         }
@@ -337,8 +357,8 @@
       servers = next;
       lead?.setServers(next);
     },
-    recordUse: (server, adapter, change) => {
-      const key = `${server}/${adapter}`;
+    recordUse: (server, name, change) => {
+      const key = `${server}/${name}`;
       const count = (uses.get(key) ?? 0) + change;
       if (count > 0) uses.set(key, count);
       else uses.delete(key);
--- a/src/serving/createOrganisationRates/test.ts
+++ b/src/serving/createOrganisationRates/test.ts
@@ -16,7 +16,7 @@
     loads: {},
     admitted: Object.fromEntries(rates.getAdmitted()),
     demand: {},
-    adaptersInUse: [],
+    inUse: [],
     silent: [],
   };
 }
--- a/src/serving/createServerBook/index.ts
+++ b/src/serving/createServerBook/index.ts
@@ -8,12 +8,16 @@
   active: number;
   backlogTokens: number;
   heldTokens: number;
+  /** Backlog of the urgent requests alone. */
+  urgentTokens: number;
 }
 
 /** What a request puts on a server. */
 export interface RequestWeight {
   backlogTokens: number;
   heldTokens: number;
+  /** Whether it goes before those that are not urgent. */
+  isUrgent: boolean;
   /** Milliseconds until the first bytes, as estimated. */
   delayMs: number;
 }
@@ -102,7 +106,7 @@
 const LEAST_SLOWNESS = 0.3; // the fastest model takes a third of the slowest one's time
 const MOST_SLOWNESS = 8; // what a server in trouble is known to take
 const LEAST_DELAY_MS = 40; // way there and back, and one step of a batch
-const NO_LOAD: ServerLoad = { active: 0, backlogTokens: 0, heldTokens: 0 };
+const NO_LOAD: ServerLoad = { active: 0, backlogTokens: 0, heldTokens: 0, urgentTokens: 0 };
 
 /** Creates the book of servers of this host. */
 export function createServerBook(options: {
@@ -171,6 +175,7 @@
       active: load.active + entry.others.active,
       slots: server.slots,
       backlogTokens: load.backlogTokens + entry.others.backlogTokens,
+      urgentTokens: load.urgentTokens + entry.others.urgentTokens,
       heldTokens: load.heldTokens + entry.others.heldTokens,
       memoryTokens: engines?.memoryTokens ?? 0,
       holdsAdapter:
@@ -264,7 +269,7 @@
     recordMissingModel: (id, model) => {
       entries.get(id)?.missingModels.set(model, clock.monotonicMs() + MISSING_MODEL_MS);
     },
-    takePlace: (id, { backlogTokens, heldTokens, delayMs }) => {
+    takePlace: (id, { backlogTokens, heldTokens, isUrgent, delayMs }) => {
       const entry = entries.get(id);
       const startedAtMs = clock.monotonicMs();
       if (entry === undefined)
@@ -277,12 +282,14 @@
       if (load.active === 0) entry.oldestWaitAtMs = startedAtMs;
       load.active += 1;
       load.backlogTokens += backlogTokens;
+      if (isUrgent) load.urgentTokens += backlogTokens;
       load.heldTokens += heldTokens;
       let isWaiting = true;
       const endWait = (): void => {
         if (!isWaiting) return;
         isWaiting = false;
         load.backlogTokens -= backlogTokens;
+        if (isUrgent) load.urgentTokens -= backlogTokens;
       };
       return {
         recordBytes: () => {
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 
 const name = z.string().max(256);
-const load = z.tuple([z.number(), z.number(), z.number()]);
+const load = z.tuple([z.number(), z.number(), z.number(), z.number()]);
 const server = z.object({
   id: name,
   service: name,
@@ -24,14 +24,14 @@
     host: name,
     incarnation: name,
     version: z.number(),
-    /** Active requests, backlog tokens and held tokens by server. */
+    /** Active requests, backlog tokens, held tokens and backlog tokens of urgent requests by server. */
     loads: z.record(z.string(), load),
     /** Tokens admitted since the host's start by organisation. */
     admitted: totals,
     /** Work asked since the last report by `SERVICE/MODEL`. */
     demand: totals,
-    /** Adapters with requests on their way, as `SERVER/MODEL/ADAPTER`. */
-    adaptersInUse: z.array(z.string()),
+    /** Models and adapters with requests on their way, as `SERVER/MODEL` and `SERVER/MODEL/ADAPTER`. */
+    inUse: z.array(z.string()),
     silent: z.array(name),
   }),
   /** What the holder of the command tells each host of all of them. */
--- a/src/serving/leadFleet/index.ts
+++ b/src/serving/leadFleet/index.ts
@@ -57,9 +57,10 @@
 
 const PLAN_MS = 300; // a few plans within the time of one load
 const HOST_FRESH_MS = 1500; // figures of a host that is silent for longer count no more
+const MOST_LOADS_AT_ONCE = 8; // more of them share the weight store's speed
 const HOST_GONE_MS = 10_000; // a host that nobody hears may serve on until its callers have left it
 const DEMAND_HALF_LIFE_MS = 2500; // demand moves within some seconds
-const MOST_LOADS_AT_ONCE = 3; // what the weight store of the smallest site gives full speed
+const MOST_MOVES = 3; // moves of one plan; the next one sees what they change
 const CEILING_PART = 0.9; // the weight store counts the loads at other moments than this host
 const LOAD_BURST = 3;
 const SETTLE_MS = 3000; // all engines have written their entry by then
@@ -75,6 +76,12 @@
   return recent + 1 <= CEILING_PART * loadsPerSecond * (windowMs / 1000) + LOAD_BURST - 1;
 }
 
+/** Loads that the weight store can bring in the time of one load, and one that is being prepared. */
+function computeLoadsAtOnce({ loadsPerSecond, models }: EnginePool): number {
+  const longestMs = Math.max(0, ...models.map(({ loadMs }) => loadMs));
+  return Math.min(MOST_LOADS_AT_ONCE, Math.ceil((loadsPerSecond * longestMs) / 1000) + 1);
+}
+
 function isSameServer(told: BackendServer | undefined, server: BackendServer): boolean {
   return told === server || (told !== undefined && JSON.stringify(told) === JSON.stringify(server));
 }
@@ -102,7 +109,7 @@
   };
 
   const isInUse = (server: string, adapter: string): boolean =>
-    listFresh().some(({ report }) => report.adaptersInUse.includes(`${server}/${adapter}`));
+    listFresh().some(({ report }) => report.inUse.includes(`${server}/${adapter}`));
 
   const findPool = (service: string): EnginePool | undefined =>
     configuration?.services.get(service)?.engines;
@@ -140,13 +147,14 @@
     });
   };
 
-  const planService = (service: string, pool: EnginePool): void => {
+  /** Starts the next move of a service; false when there is none, or no load is allowed now. */
+  const moveOnce = (service: string, pool: EnginePool): boolean => {
     const own = [...rooms].filter(([id]) => servers.get(id)?.service === service);
     const loading = own.filter(([, room]) => room.getLoading() !== undefined).length;
     const nowMs = clock.monotonicMs();
     loadsAtMs = loadsAtMs.filter((atMs) => nowMs - atMs < 10_000);
-    if (loading >= MOST_LOADS_AT_ONCE) return;
-    if (!computeAllowance(loadsAtMs, pool.loadsPerSecond, nowMs)) return;
+    if (loading >= computeLoadsAtOnce(pool)) return false;
+    if (!computeAllowance(loadsAtMs, pool.loadsPerSecond, nowMs)) return false;
     const models = listModels(service, pool);
     const engines = own
       .filter(([, room]) => !room.getServer().isLeaving)
@@ -155,13 +163,14 @@
         return {
           id,
           models: [...room.listModels(), ...(coming === undefined ? [] : [coming])],
+          busyModels: new Set(room.listModels().filter((model) => isInUse(id, model))),
           usedMb: room.computeUsedMb(),
           capacityMb: pool.weightsMb,
           isFree: room.isFree(),
         };
       });
     const move = planCopies(engines, models);
-    if (move === undefined) return;
+    if (move === undefined) return false;
     loadsAtMs.push(nowMs);
     const asked = models.find(({ name }) => name === move.load)?.demand ?? 0;
     log.info({ ...move, fence, demand: Math.round(asked) }, 'copy planned');
@@ -175,6 +184,11 @@
         ),
       )
       .catch((error: unknown) => log.error({ ...move, error: String(error) }, 'copy failed'));
+    return true;
+  };
+
+  const planService = (service: string, pool: EnginePool): void => {
+    for (let moves = 0; moves < MOST_MOVES && moveOnce(service, pool); moves += 1);
   };
 
   const plan = async (): Promise<void> => {
@@ -192,9 +206,9 @@
   const sumLoads = (): FleetView['loads'] => {
     const loads: FleetView['loads'] = {};
     for (const { report } of listFresh())
-      for (const [server, [active, backlog, held]] of Object.entries(report.loads)) {
-        const sum = loads[server] ?? [0, 0, 0];
-        loads[server] = [sum[0] + active, sum[1] + backlog, sum[2] + held];
+      for (const [server, [active, backlog, held, urgent]] of Object.entries(report.loads)) {
+        const sum = loads[server] ?? [0, 0, 0, 0];
+        loads[server] = [sum[0] + active, sum[1] + backlog, sum[2] + held, sum[3] + urgent];
       }
     return loads;
   };
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -14,9 +14,10 @@
 import type { ServingContext } from '../types.js';
 
 const MOST_SENDS = 5; // refusals cost a round trip each; more of them don't find room either
-const MODEL_WAIT_MS = 3000; // a load from the weight store, and the order before it
+const MODEL_WAIT_MS = 800; // a caller that is told when to come back waits better than here
 const LEAST_RETRY_AFTER_MS = 150; // a few rounds of the fleet's figures
-const MOST_RETRY_AFTER_MS = 2000;
+const UNKNOWN_RETURN_MS = 1000; // servers come and go within seconds
+const MOST_RETRY_AFTER_MS = 5000; // the longest load of a model
 const ADAPTER_CHOICES = 3; // engines that the placing host may choose from
 const SHARED_WEIGHT = 0.3; // prompt starts are held once for all requests that share them
 const OUTPUT_WORK = 8; // a token of the answer costs about as much as so many of the prompt
@@ -32,6 +33,7 @@
     affinityKey: lastShared === undefined ? '' : `${model}/${lastShared.id}`,
     sharedTokens,
     ownTokens: Math.max(0, promptTokens - sharedTokens) + greatestOutput,
+    isUrgent: request.route.priority === 0,
   };
 }
 
@@ -124,13 +126,18 @@
   return rankServers(candidates, routed, context.random);
 }
 
-/** Ranks the servers of a request; waits for a model that no engine holds yet. */
+/** Ranks the servers of a request; waits a little for a model that no engine holds yet. */
 async function findServers(course: Course): Promise<RankedServer[]> {
   const { context, request } = course;
   const ranked = rankCandidates(course);
   if (ranked.length > 0 || request.model === undefined) return ranked;
-  const waitMs = Math.min(MODEL_WAIT_MS, computeRemainingMs(course));
-  await context.placement.waitForModel(request.service, request.model, waitMs);
+  const expectedMs = context.placement.estimateModelMs(request.service, request.model);
+  if (expectedMs === undefined || expectedMs > MODEL_WAIT_MS) return [];
+  await context.placement.waitForModel(
+    request.service,
+    request.model,
+    Math.min(2 * expectedMs, MODEL_WAIT_MS, computeRemainingMs(course)),
+  );
   return rankCandidates(course);
 }
 
@@ -208,6 +215,12 @@
   return failure === AttemptFailure.broken ? PlaceOutcome.failed : PlaceOutcome.neutral;
 }
 
+/** Lists the model and the adapter that a request uses. */
+function listUses({ model, adapter }: ServingRequest): string[] {
+  if (model === undefined) return [];
+  return adapter === undefined ? [model] : [model, `${model}/${adapter}`];
+}
+
 /** Sends the request to one server; returns whether it may go on with another one. */
 async function tryServer(course: Course, choice: Choice): Promise<boolean> {
   const { context, request, reply, routed } = course;
@@ -216,11 +229,11 @@
   const place = context.book.takePlace(server.id, {
     backlogTokens: choice.unreadTokens,
     heldTokens: routed.ownTokens + SHARED_WEIGHT * routed.sharedTokens,
+    isUrgent: routed.isUrgent,
     delayMs: choice.delayMs,
   });
-  const use =
-    request.adapter === undefined ? undefined : `${request.model ?? ''}/${request.adapter}`;
-  if (use !== undefined) context.recordUse(server.id, use, 1);
+  const uses = listUses(request);
+  for (const name of uses) context.recordUse(server.id, name, 1);
   course.sends += 1;
   course.lastServer = server.id;
   const result = await runAttempt({
@@ -233,7 +246,7 @@
     mayReplace: repeat !== RepeatRule.once && course.attemptsRun + 1 < maximumAttempts,
   });
   place.release(toPlaceOutcome(result));
-  if (use !== undefined) context.recordUse(server.id, use, -1);
+  for (const name of uses) context.recordUse(server.id, name, -1);
   context.metrics.countAttempt(request.service, result.failure ?? result.end);
   course.lastEventId = result.lastEventId ?? course.lastEventId;
   course.lastReason = result.reason;
@@ -272,6 +285,16 @@
   return false;
 }
 
+/** Estimates when a request that no server can take finds one. */
+function estimateReturn({ context, request }: Course): number {
+  const { service, model } = request;
+  const expectedMs =
+    model === undefined || context.book.listCandidates({ service, model }).length > 0
+      ? undefined
+      : context.placement.estimateModelMs(service, model);
+  return expectedMs ?? UNKNOWN_RETURN_MS;
+}
+
 async function runCourse(course: Course): Promise<void> {
   const { context, request, reply } = course;
   for (;;) {
@@ -287,7 +310,7 @@
     if (choice === undefined) {
       const reason =
         request.model === undefined ? 'no server' : 'no engine for the model or adapter';
-      refuseRequest(course, reason, MOST_RETRY_AFTER_MS / 2);
+      refuseRequest(course, reason, estimateReturn(course));
       return;
     }
     const patienceMs = computePatience(request, computeRemainingMs(course));
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -27,6 +27,8 @@
   askForAdapter: (wish: AdapterWish) => Promise<AdapterGrant | undefined>;
   /** Counts work that was asked of a model or adapter. */
   recordDemand: (service: string, model: string, work: number) => void;
+  /** Estimates when a model that no engine holds will be there; undefined when nobody places. */
+  estimateModelMs: (service: string, model: string) => number | undefined;
   /** Settles once an engine may hold the model, or after the given time. */
   waitForModel: (service: string, model: string, waitMs: number) => Promise<void>;
 }
@@ -42,7 +44,7 @@
   rates: OrganisationRates;
   repeats: RepeatBudget;
   placement: Placement;
-  /** Notes that a request uses an adapter on a server, or has left it. */
-  recordUse: (server: string, adapter: string, change: 1 | -1) => void;
+  /** Notes that a request uses a model or adapter on a server, or has left it. */
+  recordUse: (server: string, name: string, change: 1 | -1) => void;
   getVersion: () => number;
 }
