--- a/src/decisions/copies/planCopies/test.ts
+++ b/src/decisions/copies/planCopies/test.ts
@@ -123,21 +123,12 @@
 t.test('rather makes a copy leave that nobody uses', (t) => {
   const models = [model('hot', 9000), model('one', 0), model('two', 0), model('three', 0)];
   const [hot, one, two, three] = models as [CopyModel, CopyModel, CopyModel, CopyModel];
+  const busyModels = new Set(['one', 'two']);
   const engines = [
     buildEngine('a', [hot]),
-    { ...buildEngine('b', [one, two, three]), busyModels: new Set(['one', 'two']) },
-    buildEngine('c', [one, two, three]),
+    { ...buildEngine('b', [one, two, three]), busyModels },
+    buildEngine('c', [one, two, three], false),
   ];
-  t.match(
-    planCopies(
-      [
-        engines[0] as CopyEngine,
-        engines[1] as CopyEngine,
-        { ...(engines[2] as CopyEngine), isFree: false },
-      ],
-      models,
-    )?.unload,
-    ['three'],
-  );
+  t.match(planCopies(engines, models)?.unload, ['three']);
   t.end();
 });
--- a/src/serving/createEngineRoom/index.ts
+++ b/src/serving/createEngineRoom/index.ts
@@ -1,53 +1,9 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { chooseVictim } from '../../decisions/copies/chooseVictim/index.js';
-import type { Clock } from '../../ports/clock.js';
-import type { Log } from '../../ports/log.js';
-import { OrderOutcome, type ModelOrder, type ModelOrders } from '../../ports/modelOrders.js';
-import type { BackendServer, EnginePool } from '../../ports/serving.js';
-import type { ServingMetrics } from '../servingMetrics/index.js';
+import { OrderOutcome, type ModelOrder } from '../../ports/modelOrders.js';
 import type { AdapterGrant } from '../types.js';
-
-/** What ordering one engine needs. */
-export interface EngineRoomOptions {
-  clock: Clock;
-  log: Log;
-  metrics: ServingMetrics;
-  orders: ModelOrders;
-  holder: string;
-  fence: number;
-  /** Makes sure that this host may order now. */
-  ensureCommand: () => Promise<boolean>;
-  isInUse: (server: string, adapter: string) => boolean;
-  server: BackendServer;
-  pool: EnginePool;
-  /** Waits for some milliseconds; tests pass a time of their own. */
-  waitMilliseconds?: (milliseconds: number) => Promise<unknown>;
-}
-
-/** What the holder of the command knows of one engine, and its orders to it, one at a time. */
-export interface EngineRoom {
-  /** Takes what the engine says of itself, as far as it is not older than its last order. */
-  setServer: (server: BackendServer) => void;
-  setPool: (pool: EnginePool) => void;
-  getServer: () => BackendServer;
-  listModels: () => string[];
-  listAdapters: () => string[];
-  listLeaving: () => string[];
-  getLoading: () => string | undefined;
-  /** Megabytes taken by what is there, coming or leaving, and by room for adapters. */
-  computeUsedMb: () => number;
-  isFree: () => boolean;
-  /** Has an adapter loaded; undefined when it can't be now. */
-  takeAdapter: (model: string, adapter: string) => Promise<AdapterGrant | undefined>;
-  recordMissing: (adapter: string) => void;
-  /** Unloads some models, then loads one; settles when the load has begun, or can't. */
-  moveCopy: (load: string, unload: readonly string[]) => Promise<boolean>;
-}
-
-interface HeldModel {
-  /** Adapters with the moment at which each was last asked for. */
-  adapters: Map<string, number>;
-}
+import type { EngineRoom, EngineRoomOptions } from './types.js';
+import { computeHeldMb, createHoldings, type NamedModel } from './_lib/createHoldings.js';
 
 const LOOK_AGAIN_MS = 500; // a report is some hundred milliseconds old
 const ENTRY_NEWER_MS = 3000; // engines write their entry every second or two, and it lags
@@ -59,6 +15,8 @@
 const ADAPTER_MS_PER_MB = 0.09;
 const LOAD_TRIES = 3; // an order without an answer is sent again, so that the first can't count later
 
+export type { EngineRoom } from './types.js';
+
 /** Creates the orders of one engine. */
 export function createEngineRoom(options: EngineRoomOptions): EngineRoom {
   const { clock, log, metrics, orders, holder, fence, ensureCommand, isInUse } = options;
@@ -66,10 +24,13 @@
   let { server, pool } = options;
   /** Orders that the engine has accepted; unknown until it has reported. */
   let orderCount: number | undefined;
-  const models = new Map<string, HeldModel>();
+  const holdings = createHoldings();
+  const { models } = holdings;
   const leaving = new Set<string>();
   /** Adapters whose order got no answer: they may come, and take a place until that is known. */
   let doubtful = 0;
+  /** When adapters that were just ordered will be there. */
+  const readyAtMs = new Map<string, number>();
   let loading: string | undefined;
   let isInDoubt = false;
   let isMoving = false;
@@ -79,37 +40,21 @@
 
   const findSize = (model: string) => pool.models.find(({ name }) => name === model);
 
-  const countAdapters = (): number =>
-    [...models.values()].reduce((sum, { adapters }) => sum + adapters.size, 0) + doubtful;
-
-  const adopt = (held: readonly { name: string; adapters: readonly string[] }[]): void => {
+  const giveHeld = (held: Map<string, number>, model: string, adapter: string): AdapterGrant => {
     const nowMs = clock.monotonicMs();
-    const before = new Map(models);
-    models.clear();
-    for (const { name, adapters } of held) {
-      const known = before.get(name)?.adapters;
-      models.set(name, {
-        adapters: new Map(adapters.map((adapter) => [adapter, known?.get(adapter) ?? nowMs])),
-      });
-    }
-    for (const model of leaving) if (!models.has(model)) leaving.delete(model);
-    doubtful = 0;
+    held.set(adapter, nowMs);
+    const readyInMs = Math.max(0, (readyAtMs.get(`${model}/${adapter}`) ?? 0) - nowMs);
+    return { server: server.id, readyInMs };
   };
-  adopt(server.models);
 
-  const isAsKnown = (held: readonly { name: string; adapters: readonly string[] }[]): boolean =>
-    held.length === models.size &&
-    held.every(({ name, adapters }) => {
-      const known = models.get(name)?.adapters;
-      return known?.size === adapters.length && adapters.every((adapter) => known.has(adapter));
-    });
+  const countAdapters = (): number => holdings.countAdapters() + doubtful;
 
-  /** Takes which models are there from an entry; adapters stay as they are until a report says more. */
-  const adoptCopies = (held: readonly { name: string; adapters: readonly string[] }[]): void => {
-    const names = new Set(held.map(({ name }) => name));
-    for (const name of models.keys()) if (!names.has(name)) models.delete(name);
-    for (const name of names) if (!models.has(name)) models.set(name, { adapters: new Map() });
+  const adopt = (held: readonly NamedModel[]): void => {
+    holdings.adopt(held, clock.monotonicMs());
+    for (const model of leaving) if (!models.has(model)) leaving.delete(model);
+    doubtful = 0;
   };
+  adopt(server.models);
 
   /** Runs tasks of this engine one after the other, as it takes one order at a time. */
   const enqueue = <T>(task: () => Promise<T>): Promise<T> => {
@@ -184,7 +129,7 @@
   };
 
   const unloadVictim = async (): Promise<boolean> => {
-    const held = [...models].flatMap(([model, { adapters }]) =>
+    const held = [...models].flatMap(([model, adapters]) =>
       [...adapters].map(([adapter, wantedAtMs]) => {
         const name = `${model}/${adapter}`;
         return { name, model, adapter, wantedAtMs, isInUse: isInUse(server.id, name) };
@@ -194,10 +139,10 @@
     const chosen = held.find(({ name }) => name === victim?.name);
     if (chosen === undefined) return false;
     // From here on it counts as gone: nobody may be sent to it.
-    models.get(chosen.model)?.adapters.delete(chosen.adapter);
+    models.get(chosen.model)?.delete(chosen.adapter);
     const outcome = await order('unload', chosen.model, chosen.adapter);
     if (outcome === OrderOutcome.refused) {
-      models.get(chosen.model)?.adapters.set(chosen.adapter, chosen.wantedAtMs);
+      models.get(chosen.model)?.set(chosen.adapter, chosen.wantedAtMs);
       return false;
     }
     if (outcome === OrderOutcome.held) {
@@ -212,25 +157,19 @@
 
   const loadAdapter = async (model: string, adapter: string): Promise<AdapterGrant | undefined> => {
     if (!(await prepare())) return undefined;
-    const nowMs = clock.monotonicMs();
     const held = models.get(model);
     if (held === undefined || leaving.has(model)) return undefined;
-    const ready = { server: server.id, readyInMs: 0 };
-    if (held.adapters.has(adapter)) {
-      held.adapters.set(adapter, nowMs);
-      return ready;
-    }
+    if (held.has(adapter)) return giveHeld(held, model, adapter);
     if (countAdapters() >= pool.adapterPlaces && !(await unloadVictim())) return undefined;
     if (countAdapters() >= pool.adapterPlaces) return undefined;
     const outcome = await order('load', model, adapter);
     if (outcome === OrderOutcome.accepted || outcome === OrderOutcome.held) {
       if (outcome === OrderOutcome.accepted) countOrder();
-      models.get(model)?.adapters.set(adapter, clock.monotonicMs());
-      const transfer = ADAPTER_BASE_MS + ADAPTER_MS_PER_MB * (findSize(model)?.adapterMb ?? 0);
-      return {
-        server: server.id,
-        readyInMs: outcome === OrderOutcome.held ? 0 : Math.ceil(transfer),
-      };
+      const transferMs = ADAPTER_BASE_MS + ADAPTER_MS_PER_MB * (findSize(model)?.adapterMb ?? 0);
+      const isComing = outcome === OrderOutcome.accepted;
+      if (isComing)
+        readyAtMs.set(`${model}/${adapter}`, clock.monotonicMs() + Math.ceil(transferMs));
+      return giveHeld(models.get(model) ?? held, model, adapter);
     }
     if (outcome !== OrderOutcome.refused) {
       doubtful += 1;
@@ -240,15 +179,8 @@
     return undefined;
   };
 
-  /** Megabytes of the models that are there, and of room for adapters. */
-  const computeHeldMb = (held: Iterable<string>): number => {
-    const weights = [...held].reduce((sum, model) => sum + (findSize(model)?.weightsMb ?? 0), 0);
-    const largest = Math.max(0, ...pool.models.map(({ adapterMb }) => adapterMb));
-    return weights + largest * pool.adapterPlaces;
-  };
-
   const hasRoomFor = (model: string): boolean =>
-    computeHeldMb(new Set([...models.keys(), model])) <= pool.weightsMb;
+    computeHeldMb(pool, new Set([...models.keys(), model])) <= pool.weightsMb;
 
   const waitForReport = async (isDone: () => boolean, mostMs: number): Promise<boolean> => {
     const startedAtMs = clock.monotonicMs();
@@ -299,10 +231,10 @@
       const nowMs = clock.monotonicMs();
       const isSettled = nowMs - Math.max(lastOrderAtMs, lookedAtMs) > ENTRY_NEWER_MS;
       // An entry may be older than the last order, however late it arrives: it only gives a reason to look.
-      if (isSettled && !isInDoubt && !isMoving && !isAsKnown(next.models)) {
+      if (isSettled && !isInDoubt && !isMoving && !holdings.isSame(next.models)) {
         lookedAtMs = nowMs;
         orderCount = undefined;
-        adoptCopies(next.models);
+        holdings.adoptCopies(next.models);
       }
     },
     setPool: (next) => {
@@ -310,21 +242,16 @@
     },
     getServer: () => server,
     listModels: () => [...models.keys()].filter((model) => !leaving.has(model)),
-    listAdapters: () =>
-      [...models].flatMap(([model, { adapters }]) =>
-        [...adapters.keys()].map((adapter) => `${model}/${adapter}`),
-      ),
+    listAdapters: holdings.listAdapters,
     listLeaving: () => [...leaving],
     getLoading: () => loading,
     computeUsedMb: () =>
-      computeHeldMb(new Set([...models.keys(), ...(loading === undefined ? [] : [loading])])),
+      computeHeldMb(pool, new Set([...models.keys(), ...(loading === undefined ? [] : [loading])])),
     isFree: () => loading === undefined && leaving.size === 0 && !isInDoubt && !server.isLeaving,
     takeAdapter: (model, adapter) => {
       const held = models.get(model);
-      if (held?.adapters.has(adapter) === true && !leaving.has(model)) {
-        held.adapters.set(adapter, clock.monotonicMs());
-        return Promise.resolve({ server: server.id, readyInMs: 0 });
-      }
+      if (held?.has(adapter) === true && !leaving.has(model))
+        return Promise.resolve(giveHeld(held, model, adapter));
       // An engine that moves a model takes no other order meanwhile.
       if (isInDoubt || isMoving || server.isLeaving) return Promise.resolve(undefined);
       return enqueue(() => loadAdapter(model, adapter));
@@ -332,7 +259,7 @@
     recordMissing: (name) => {
       if (clock.monotonicMs() - lastOrderAtMs < LOOK_AGAIN_MS) return;
       const [model = '', adapter = ''] = name.split('/');
-      models.get(model)?.adapters.delete(adapter);
+      models.get(model)?.delete(adapter);
     },
     moveCopy: async (load, unload) => {
       loading = load;
--- a/src/serving/createEngineRoom/test.ts
+++ b/src/serving/createEngineRoom/test.ts
@@ -165,7 +165,7 @@
   });
 }
 
-async function playDay(seed: number, faults: Faults): Promise<number> {
+async function runDay(seed: number, faults: Faults): Promise<number> {
   const engine = createEngine(seed, faults);
   const room = openRoom(engine);
   for (let step = 0; step < 60; step += 1) {
@@ -224,15 +224,15 @@
 });
 
 t.test('never orders more than fits, on calm days', async (t) => {
-  for (let seed = 1; seed <= 40; seed += 1) t.equal(await playDay(seed, {}), 0, `seed ${seed}`);
+  for (let seed = 1; seed <= 40; seed += 1) t.equal(await runDay(seed, {}), 0, `seed ${seed}`);
 });
 
 t.test('never orders more than fits when answers are lost', async (t) => {
   for (let seed = 1; seed <= 60; seed += 1)
-    t.equal(await playDay(seed, { lost: 30 }), 0, `seed ${seed}`);
+    t.equal(await runDay(seed, { lost: 30 }), 0, `seed ${seed}`);
 });
 
 t.test('never orders more than fits when orders are carried out late', async (t) => {
   for (let seed = 1; seed <= 60; seed += 1)
-    t.equal(await playDay(seed, { late: 40 }), 0, `seed ${seed}`);
+    t.equal(await runDay(seed, { late: 40 }), 0, `seed ${seed}`);
 });
--- a/src/serving/createFleetBuckets/test.ts
+++ b/src/serving/createFleetBuckets/test.ts
@@ -17,9 +17,9 @@
   for (const host of ['a', 'b', 'c', 'd']) buckets.record(report(host, 100));
   nowMs = 400;
   buckets.setUnheard(['b', 'c', 'd'], 4);
-  const before = buckets.describe('a').levels['depots'] ?? 0;
+  const before = buckets.describe('a').levels.depots ?? 0;
   nowMs = 800;
-  const after = buckets.describe('a').levels['depots'] ?? 0;
+  const after = buckets.describe('a').levels.depots ?? 0;
   t.equal(Math.round(after - before), 1000, 'a quarter of the rate');
   t.end();
 });
@@ -29,13 +29,13 @@
   const buckets = createFleetBuckets({ clock, levels: new Map([['depots', 8000]]) });
   buckets.setOrganisations([depots]);
   buckets.record(report('a', 5000));
-  t.equal(buckets.describe('a').levels['depots'], 8000, 'spent before this holder led');
+  t.equal(buckets.describe('a').levels.depots, 8000, 'spent before this holder led');
   buckets.record(report('a', 6000));
-  t.equal(buckets.describe('a').levels['depots'], 7000);
+  t.equal(buckets.describe('a').levels.depots, 7000);
   buckets.record(report('a', 5500));
-  t.equal(buckets.describe('a').levels['depots'], 7500);
+  t.equal(buckets.describe('a').levels.depots, 7500);
   buckets.record({ ...report('a', 300), incarnation: 'a/2' });
-  t.equal(buckets.describe('a').levels['depots'], 7200);
+  t.equal(buckets.describe('a').levels.depots, 7200);
   t.end();
 });
 
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -1,56 +1,16 @@
-import type { Clock } from '../../ports/clock.js';
-import type { Log } from '../../ports/log.js';
-import type { ModelOrders } from '../../ports/modelOrders.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 import { RUSH_PART } from '../createFleetBuckets/index.js';
 import { createFleetLink, type FleetConnection } from '../createFleetLink/index.js';
-import type { OrganisationRates } from '../createOrganisationRates/index.js';
-import type { RepeatBudget } from '../createRepeatBudget/index.js';
-import type { ServerBook, ServerLoad } from '../createServerBook/index.js';
 import type { FleetLevelsMessage, FleetMessage, FleetReport, FleetView } from '../fleetMessages.js';
-import type { FleetHost, Membership } from '../keepMembership/index.js';
 import { leadFleet, type FleetLead } from '../leadFleet/index.js';
-import type { ServingMetrics } from '../servingMetrics/index.js';
-import type { AdapterGrant, AdapterWish, Placement } from '../types.js';
-
-/** A host's part in the fleet: it reports to the holder of the command, or is the holder itself. */
-export interface FleetPart {
-  placement: Placement;
-  listen: (address: string, port: number) => Promise<number>;
-  setHosts: (hosts: readonly FleetHost[]) => void;
-  setFence: (fence: number | undefined) => void;
-  setConfiguration: (configuration: ServingConfiguration, value: Buffer) => void;
-  setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
-  recordUse: (server: string, name: string, change: 1 | -1) => void;
-  /** Whether another host holds the command, hears the store and is heard. */
-  isFed: () => boolean;
-  /** Notes that the store answered one of the watches. */
-  recordAnswer: (watch: string) => void;
-  close: () => void;
-}
-
-/** Options of a host's part in the fleet. */
-export interface FleetPartOptions {
-  clock: Clock;
-  log: Log;
-  metrics: ServingMetrics;
-  orders: ModelOrders;
-  book: ServerBook;
-  rates: OrganisationRates;
-  repeats: RepeatBudget;
-  host: string;
-  incarnation: string;
-  membership: () => Membership;
-  /** Takes a configuration that a peer has passed on. */
-  onConfiguration: (value: Uint8Array) => void;
-  /** Takes servers that the holder of the command has seen. */
-  onServers: (changed: readonly BackendServer[], removed: readonly string[]) => void;
-}
+import type { FleetPart, FleetPartOptions } from './types.js';
+import { computeOthers } from './_lib/computeOthers.js';
+import { createWishes } from './_lib/createWishes.js';
+import { createWorkBook, encodeLoads } from './_lib/createWorkBook.js';
 
 const ROUND_MS = 200; // figures older than that misplace a burst; see docs/platform.md
 const RUSH_MS = 40; // a hot organisation spends a few percent of its burst meanwhile
 const RUSH_HOST_MS = 5; // each message to a host takes some of the time of a small host
-const GRANT_MS = 700; // an order, one look again at the engine, and two messages
 const VIEW_FRESH_MS = 1500; // several rounds; later nobody is taken to place models
 const FED_FRESH_MS = 700; // three rounds; then this host watches the store itself
 const WATCHES = 3; // configuration, servers, fleet
@@ -58,23 +18,6 @@
 const ORDER_MS = 700; // a plan, its announcement and the order
 const MODEL_POLL_MS = 40; // below the shortest objective by far
 
-function computeOthers(view: FleetView): Map<string, ServerLoad> {
-  return new Map(
-    Object.entries(view.loads).map(([server, [active, backlog, held, urgent]]) => {
-      const own = view.ownLoads[server] ?? [0, 0, 0, 0];
-      return [
-        server,
-        {
-          active: Math.max(0, active - own[0]),
-          backlogTokens: Math.max(0, backlog - own[1]),
-          heldTokens: Math.max(0, held - own[2]),
-          urgentTokens: Math.max(0, urgent - own[3]),
-        },
-      ];
-    }),
-  );
-}
-
 /** Creates a host's part in the fleet. */
 export function createFleetPart(options: FleetPartOptions): FleetPart {
   const { clock, log, book, rates, repeats, host } = options;
@@ -87,38 +30,21 @@
   /** Models that some engine is loading, and since when this host knows. */
   const loadingSinceMs = new Map<string, number>();
   const answersAtMs = new Map<string, number>();
-  const demand = new Map<string, number>();
-  const uses = new Map<string, number>();
+  const work = createWorkBook();
   const connections = new Map<string, FleetConnection>();
-  const grants = new Map<number, (grant: AdapterGrant | undefined) => void>();
-  const wishes = new Map<string, Promise<AdapterGrant | undefined>>();
-  let wishId = 0;
+  const wishes = createWishes((message) => link.sendToHolder(message));
 
-  const buildReport = (): FleetReport => {
-    const asked = Object.fromEntries(demand);
-    demand.clear();
-    return {
-      type: 'report',
-      host,
-      incarnation: options.incarnation,
-      version: configuration?.version ?? 0,
-      loads: Object.fromEntries(
-        [...book.getOwnLoads()].map(([server, load]) => [
-          server,
-          [
-            load.active,
-            Math.round(load.backlogTokens),
-            Math.round(load.heldTokens),
-            Math.round(load.urgentTokens),
-          ],
-        ]),
-      ),
-      admitted: Object.fromEntries(rates.getAdmitted()),
-      demand: asked,
-      inUse: [...uses.keys()],
-      silent: book.listSilent(),
-    };
-  };
+  const buildReport = (): FleetReport => ({
+    type: 'report',
+    host,
+    incarnation: options.incarnation,
+    version: configuration?.version ?? 0,
+    loads: encodeLoads(book.getOwnLoads()),
+    admitted: Object.fromEntries(rates.getAdmitted()),
+    demand: work.takeDemand(),
+    inUse: work.listUsed(),
+    silent: book.listSilent(),
+  });
 
   const applyView = (view: FleetView): void => {
     viewAtMs = clock.monotonicMs();
@@ -177,12 +103,7 @@
       if (message.version > (configuration?.version ?? 0))
         connection.send({ type: 'configurationRequest' });
     } else if (message.type === 'levels') applyLevels(message);
-    else if (message.type === 'grant')
-      grants.get(message.id)?.(
-        message.server === undefined
-          ? undefined
-          : { server: message.server, readyInMs: message.readyInMs },
-      );
+    else if (message.type === 'grant') wishes.settle(message);
     else if (message.type === 'configurationRequest') passConfiguration(connection);
     else if (message.type === 'configuration') options.onConfiguration(message.value);
   };
@@ -216,8 +137,7 @@
   const runRound = (): void => {
     const report = buildReport();
     if (lead === undefined) {
-      if (!link.sendToHolder(report))
-        for (const [key, work] of Object.entries(report.demand)) demand.set(key, work);
+      if (!link.sendToHolder(report)) work.giveBack(report.demand);
       return;
     }
     lead.recordReport(report);
@@ -268,45 +188,12 @@
   };
   const rushes = setInterval(tellRush, RUSH_MS);
 
-  const sendWish = (wish: AdapterWish): Promise<AdapterGrant | undefined> =>
-    new Promise((resolve) => {
-      wishId += 1;
-      const id = wishId;
-      const finish = (grant: AdapterGrant | undefined): void => {
-        clearTimeout(timer);
-        grants.delete(id);
-        resolve(grant);
-      };
-      const timer = setTimeout(() => finish(undefined), GRANT_MS);
-      grants.set(id, finish);
-      const isSent = link.sendToHolder({
-        type: 'wish',
-        id,
-        ...wish,
-        servers: [...wish.servers],
-        missing: [...wish.missing],
-      });
-      if (!isSent) finish(undefined);
-    });
-
   const isPlacing = (): boolean => clock.monotonicMs() - viewAtMs < VIEW_FRESH_MS;
 
   return {
     placement: {
-      askForAdapter: (wish) => {
-        const key = `${wish.model}/${wish.adapter}`;
-        const known = wishes.get(key);
-        if (known !== undefined) return known;
-        const asked = (lead === undefined ? sendWish(wish) : lead.grantAdapter(wish)).finally(() =>
-          wishes.delete(key),
-        );
-        wishes.set(key, asked);
-        return asked;
-      },
-      recordDemand: (service, model, work) => {
-        const key = `${service}/${model}`;
-        demand.set(key, (demand.get(key) ?? 0) + work);
-      },
+      askForAdapter: (wish) => (lead === undefined ? wishes.ask(wish) : lead.grantAdapter(wish)),
+      recordDemand: (service, model, amount) => work.recordDemand(`${service}/${model}`, amount),
       estimateModelMs: (service, model) => {
         if (!isPlacing()) return undefined;
         const size = configuration?.services
@@ -357,12 +244,7 @@
       servers = next;
       lead?.setServers(next);
     },
-    recordUse: (server, name, change) => {
-      const key = `${server}/${name}`;
-      const count = (uses.get(key) ?? 0) + change;
-      if (count > 0) uses.set(key, count);
-      else uses.delete(key);
-    },
+    recordUse: (server, name, change) => work.recordUse(`${server}/${name}`, change),
     isFed: () =>
       lead === undefined && isHolderCurrent && clock.monotonicMs() - viewAtMs < FED_FRESH_MS,
     recordAnswer: (watch) => {
--- a/src/serving/createOrganisationRates/test.ts
+++ b/src/serving/createOrganisationRates/test.ts
@@ -22,7 +22,7 @@
 }
 
 /** Hosts that all ask more than the rate, with the holder of the command heard in some rounds only. */
-function playHosts(hostCount: number, rounds: readonly boolean[], tokens: number): number {
+function runHosts(hostCount: number, rounds: readonly boolean[], tokens: number): number {
   let nowMs = 0;
   const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
   const hosts = Array.from({ length: hostCount }, () => createOrganisationRates({ clock }));
@@ -64,7 +64,7 @@
       // Each host may spend the refill of a round before it hears of the others.
       const lag = (hostCount * depots.rate * ROUND_MS) / 1000;
       const bound = depots.rate * seconds + depots.burst + lag + hostCount * tokens;
-      return playHosts(hostCount, rounds, tokens) <= bound;
+      return runHosts(hostCount, rounds, tokens) <= bound;
     },
   );
   fc.assert(property, { seed: 31, numRuns: 60 });
@@ -73,7 +73,7 @@
 
 t.test('admits within the rate while nobody leads, and most of it', (t) => {
   const rounds = Array.from({ length: 40 }, () => false);
-  const total = playHosts(7, rounds, 100);
+  const total = runHosts(7, rounds, 100);
   t.ok(total <= 8 * depots.rate + depots.burst);
   t.ok(total >= 0.8 * 8 * depots.rate);
   t.end();
@@ -86,7 +86,7 @@
     (hostCount, rounds) => {
       const changes = rounds.filter((isHeard, index) => isHeard !== rounds[index - 1]).length;
       const lag = ((hostCount + changes) * depots.rate * 1000) / 1000;
-      return playHosts(hostCount, rounds, 400) <= 9 * depots.rate + lag + hostCount * 400;
+      return runHosts(hostCount, rounds, 400) <= 9 * depots.rate + lag + hostCount * 400;
     },
   );
   fc.assert(property, { seed: 32, numRuns: 60 });
--- a/src/serving/createServerBook/index.ts
+++ b/src/serving/createServerBook/index.ts
@@ -2,6 +2,15 @@
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import {
+  computeFailureShare,
+  createHealth,
+  isSilent,
+  recordDelay,
+  recordOutcome,
+  type PlaceOutcome,
+  type ServerHealth,
+} from './_lib/health.js';
 
 /** Load of one server as one host, or all of them, have put it there. */
 export interface ServerLoad {
@@ -32,15 +41,7 @@
   release: (outcome: PlaceOutcome) => void;
 }
 
-/** How a request left a server, as far as the server's health goes. */
-export const PlaceOutcome = {
-  served: 'served',
-  failed: 'failed',
-  unreachable: 'unreachable',
-  /** Says nothing of the server. */
-  neutral: 'neutral',
-} as const;
-export type PlaceOutcome = (typeof PlaceOutcome)[keyof typeof PlaceOutcome];
+export { PlaceOutcome } from './_lib/health.js';
 
 /** What the servers are known to be, to hold and to bear. */
 export interface ServerBook {
@@ -76,36 +77,19 @@
   excluded?: ReadonlySet<string>;
 }
 
+const MISSING_MODEL_MS = 1500; // a report of the engine is newer by then
+const CORRECTION_MS = 2000; // an engine has said anew what it holds by then
+/** A server with what this host knows of it. */
 interface Entry {
   server: BackendServer;
   load: ServerLoad;
   others: ServerLoad;
-  failureShare: number;
-  failureAtMs: number;
-  avoidUntilMs: number;
-  streak: number;
-  lastBytesAtMs: number;
-  oldestWaitAtMs: number;
-  runMs: number;
-  slowness: number;
+  health: ServerHealth;
   /** Adapters that differ from what the leader last said, until they are known anew. */
   corrections: Map<string, { isThere: boolean; untilMs: number }>;
   missingModels: Map<string, number>;
 }
 
-const FAILURE_WEIGHT = 0.2; // five attempts decide what a server is thought of
-const FAILURE_HALF_LIFE_MS = 4000; // troubles of servers last some seconds
-const AVOID_MS = 800; // first pause after a server can't be reached; doubles to the greatest
-const AVOID_MOST_MS = 3000;
-const SILENT_MS = 900; // an engine in work sends some bytes every few tens of milliseconds
-const MISSING_MODEL_MS = 1500; // a report of the engine is newer by then
-const CORRECTION_MS = 2000; // an engine has said anew what it holds by then
-const FIRST_RUN_MS = 200;
-const RUN_WEIGHT = 0.1;
-const SLOWNESS_WEIGHT = 0.1; // some ten answers tell a slow server from an unlucky request
-const LEAST_SLOWNESS = 0.3; // the fastest model takes a third of the slowest one's time
-const MOST_SLOWNESS = 8; // what a server in trouble is known to take
-const LEAST_DELAY_MS = 40; // way there and back, and one step of a batch
 const NO_LOAD: ServerLoad = { active: 0, backlogTokens: 0, heldTokens: 0, urgentTokens: 0 };
 
 /** Creates the book of servers of this host. */
@@ -126,25 +110,11 @@
     server,
     load: { ...NO_LOAD },
     others: others.get(server.id) ?? NO_LOAD,
-    failureShare: 0,
-    failureAtMs: clock.monotonicMs(),
-    avoidUntilMs: 0,
-    streak: 0,
-    lastBytesAtMs: 0,
-    oldestWaitAtMs: Infinity,
-    runMs: FIRST_RUN_MS,
-    slowness: 1,
+    health: createHealth(clock.monotonicMs()),
     corrections: new Map(),
     missingModels: new Map(),
   });
 
-  const computeFailureShare = (entry: Entry, nowMs: number): number =>
-    entry.failureShare * 0.5 ** ((nowMs - entry.failureAtMs) / FAILURE_HALF_LIFE_MS);
-
-  const isSilent = (entry: Entry, nowMs: number): boolean =>
-    entry.load.active > 0 &&
-    nowMs - Math.max(entry.lastBytesAtMs, entry.oldestWaitAtMs) > SILENT_MS;
-
   const holdsModel = (entry: Entry, model: string, nowMs: number): boolean => {
     if ((entry.missingModels.get(model) ?? -Infinity) > nowMs) return false;
     if (leavingModels.has(`${entry.server.id}/${model}`)) return false;
@@ -183,30 +153,21 @@
         request.adapter === undefined ||
         holdsAdapter(entry, request.model, request.adapter),
       isNear: server.dataCentre === dataCentre,
-      failureShare: computeFailureShare(entry, nowMs),
-      runMs: entry.runMs,
-      slowness: entry.slowness,
+      failureShare: computeFailureShare(entry.health, nowMs),
+      runMs: entry.health.runMs,
+      slowness: entry.health.slowness,
     };
   };
 
-  const recordOutcome = (entry: Entry, outcome: PlaceOutcome, nowMs: number): void => {
-    if (outcome === PlaceOutcome.neutral) return;
-    const isFailure = outcome !== PlaceOutcome.served;
-    const share = computeFailureShare(entry, nowMs);
-    entry.failureShare = share + FAILURE_WEIGHT * ((isFailure ? 1 : 0) - share);
-    entry.failureAtMs = nowMs;
-    entry.streak = outcome === PlaceOutcome.unreachable ? entry.streak + 1 : 0;
-    if (outcome !== PlaceOutcome.unreachable) return;
-    entry.avoidUntilMs = nowMs + Math.min(AVOID_MOST_MS, AVOID_MS * 2 ** (entry.streak - 1));
+  const logAvoided = ({ server, health }: Entry, nowMs: number): void =>
     log.warn(
       {
-        server: entry.server.id,
-        streak: entry.streak,
-        avoidMs: Math.round(entry.avoidUntilMs - nowMs),
+        server: server.id,
+        streak: health.streak,
+        avoidMs: Math.round(health.avoidUntilMs - nowMs),
       },
       'server not reached, avoided',
     );
-  };
 
   return {
     setServers: (servers) => {
@@ -253,7 +214,9 @@
       );
       const sound = fit.filter(
         (entry) =>
-          entry.avoidUntilMs <= nowMs && !isSilent(entry, nowMs) && !suspects.has(entry.server.id),
+          entry.health.avoidUntilMs <= nowMs &&
+          !isSilent(entry.health, entry.load.active, nowMs) &&
+          !suspects.has(entry.server.id),
       );
       // A server in doubt is still better than none.
       return (sound.length > 0 ? sound : fit).map((entry) => toCandidate(entry, request, nowMs));
@@ -279,7 +242,7 @@
           release: () => undefined,
         };
       const { load } = entry;
-      if (load.active === 0) entry.oldestWaitAtMs = startedAtMs;
+      if (load.active === 0) entry.health.oldestWaitAtMs = startedAtMs;
       load.active += 1;
       load.backlogTokens += backlogTokens;
       if (isUrgent) load.urgentTokens += backlogTokens;
@@ -293,25 +256,24 @@
       };
       return {
         recordBytes: () => {
-          entry.lastBytesAtMs = clock.monotonicMs();
+          entry.health.lastBytesAtMs = clock.monotonicMs();
         },
         recordFirstBytes: () => {
-          entry.lastBytesAtMs = clock.monotonicMs();
           endWait();
-          const ratio = (entry.lastBytesAtMs - startedAtMs) / Math.max(LEAST_DELAY_MS, delayMs);
-          const bounded = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio * entry.slowness));
-          entry.slowness += SLOWNESS_WEIGHT * (bounded - entry.slowness);
+          recordDelay(
+            entry.health,
+            clock.monotonicMs() - startedAtMs,
+            delayMs,
+            clock.monotonicMs(),
+          );
         },
         release: (outcome) => {
           const nowMs = clock.monotonicMs();
           endWait();
           load.active -= 1;
           load.heldTokens -= heldTokens;
-          if (outcome === PlaceOutcome.served) {
-            entry.lastBytesAtMs = nowMs;
-            entry.runMs += RUN_WEIGHT * (nowMs - startedAtMs - entry.runMs);
-          }
-          recordOutcome(entry, outcome, nowMs);
+          const isAvoided = recordOutcome(entry.health, outcome, nowMs - startedAtMs, nowMs);
+          if (isAvoided) logAvoided(entry, nowMs);
         },
       };
     },
@@ -322,7 +284,7 @@
     listSilent: () => {
       const nowMs = clock.monotonicMs();
       return [...entries.values()]
-        .filter((entry) => isSilent(entry, nowMs))
+        .filter(({ health, load }) => isSilent(health, load.active, nowMs))
         .map(({ server }) => server.id);
     },
   };
--- a/src/serving/keepMembership/index.ts
+++ b/src/serving/keepMembership/index.ts
@@ -11,20 +11,17 @@
 } from '../../ports/fleetStore.js';
 import type { Log } from '../../ports/log.js';
 import { followPrefix } from '../followPrefix/index.js';
+import {
+  applyChange,
+  COMMAND_KEY,
+  FLEET_PREFIX,
+  HOSTS_PREFIX,
+  LAST_HOLDER_KEY,
+  type FleetHost,
+  type KnownFleet,
+} from './_lib/knownFleet.js';
 
-/** Prefix of the fleet's own keys. */
-export const FLEET_PREFIX = 'bronzelanding/';
-const HOSTS_PREFIX = `${FLEET_PREFIX}hosts/`;
-const COMMAND_KEY = `${FLEET_PREFIX}command`;
-/** Who held the command last; outlives the lease. */
-const LAST_HOLDER_KEY = `${FLEET_PREFIX}last-holder`;
-
-/** Where a host takes connections of its peers. */
-export interface FleetHost {
-  name: string;
-  address: string;
-  port: number;
-}
+export type { FleetHost } from './_lib/knownFleet.js';
 
 /** This host's part in the fleet: its entry, the other hosts, and the command over engines. */
 export interface Membership {
@@ -63,58 +60,11 @@
 const RENEWALS_A_TERM = 4; // two lost renewals are survived, and the margin for orders is kept
 const CONTEND_MS = 250; // spreads the hosts that try to take the command
 
-interface Known {
-  hosts: Map<string, FleetHost>;
-  command?: { holder: string; incarnation: string; revision: number };
-  commandRevision: number;
-  lastHolder: string;
-  lastHolderRevision: number;
-  isListed: boolean;
-}
-
-function parseJson(value: Buffer): Record<string, unknown> | undefined {
-  try {
-    return JSON.parse(value.toString('utf8')) as Record<string, unknown>;
-  } catch {
-    return undefined;
-  }
-}
-
-function applyItem(known: Known, { key, value, revision }: StoreChange, log: Log): void {
-  const parsed = value === undefined ? undefined : parseJson(value);
-  if (value !== undefined && parsed === undefined)
-    log.warn({ key, revision }, 'an entry of the fleet can not be read, ignored');
-  if (key === COMMAND_KEY) {
-    known.commandRevision = parsed === undefined ? 0 : revision;
-    known.command =
-      parsed === undefined
-        ? undefined
-        : {
-            holder: String(parsed['holder']),
-            incarnation: String(parsed['incarnation']),
-            revision,
-          };
-  } else if (key === LAST_HOLDER_KEY) {
-    known.lastHolder = String(parsed?.['holder'] ?? '');
-    known.lastHolderRevision = revision;
-  } else if (key.startsWith(HOSTS_PREFIX)) {
-    const name = key.slice(HOSTS_PREFIX.length);
-    if (parsed === undefined) known.hosts.delete(name);
-    else
-      known.hosts.set(name, {
-        name,
-        address: String(parsed['address']),
-        port: Number(parsed['port']),
-      });
-  }
-}
-
 /** Keeps this host listed, follows the other hosts, and takes the command when nobody holds it. */
 export function keepMembership(options: KeepMembershipOptions): Membership {
   const { store, clock, log, random, self, incarnation, ttlMs, handoverMs, signal } = options;
-  const known: Known = {
+  const known: KnownFleet = {
     hosts: new Map(),
-    commandRevision: 0,
     lastHolder: '',
     lastHolderRevision: 0,
     isListed: false,
@@ -213,10 +163,12 @@
     setFence(command.revision);
   };
 
+  const isVacant = (): boolean => known.isListed && known.command === undefined;
+
   const takeCommand = async (): Promise<void> => {
-    if (lease === undefined || !known.isListed || known.command !== undefined) return;
+    if (lease === undefined || !isVacant()) return;
     await wait(random() * CONTEND_MS, undefined, { signal });
-    if (known.command !== undefined) return;
+    if (!isVacant()) return;
     const { result } = await store.transact({
       conditions: [
         { key: COMMAND_KEY, revision: 0 },
@@ -250,7 +202,7 @@
   const applyChanges = (changes: readonly StoreChange[]): void => {
     const before = [...known.hosts.keys()].join();
     const previousHolder = known.lastHolder;
-    for (const change of changes) applyItem(known, change, log);
+    for (const change of changes) applyChange(known, change, log);
     known.isListed = true;
     adoptCommand(previousHolder);
     const hosts = [...known.hosts.values()];
@@ -290,10 +242,11 @@
       if (fence === undefined || lease === undefined) return false;
       if (clock.monotonicMs() < mayOrderAtMs) return false;
       const isSure = (): boolean =>
+        fence !== undefined &&
         lease !== undefined &&
         isHolderSure({ ...lease, lastTickMs }, clock.monotonicMs(), clock.wallMs());
       if (isSure()) return true;
-      return (await renewOnce()) && fence !== undefined && isSure();
+      return (await renewOnce()) && isSure();
     },
     leave: async () => {
       clearInterval(ticks);
--- a/src/serving/leadFleet/index.ts
+++ b/src/serving/leadFleet/index.ts
@@ -1,5 +1,4 @@
 import { planCopies } from '../../decisions/copies/planCopies/index.js';
-import type { CopyModel } from '../../decisions/copies/types.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
 import type { ModelOrders } from '../../ports/modelOrders.js';
@@ -14,6 +13,8 @@
 } from '../fleetMessages.js';
 import type { ServingMetrics } from '../servingMetrics/index.js';
 import type { AdapterGrant, AdapterWish } from '../types.js';
+import { createDemand } from './_lib/createDemand.js';
+import { listChanges } from './_lib/listChanges.js';
 
 /** What leading the fleet needs. */
 export interface LeadFleetOptions {
@@ -59,12 +60,10 @@
 const HOST_FRESH_MS = 1500; // figures of a host that is silent for longer count no more
 const MOST_LOADS_AT_ONCE = 8; // more of them share the weight store's speed
 const HOST_GONE_MS = 10_000; // a host that nobody hears may serve on until its callers have left it
-const DEMAND_HALF_LIFE_MS = 2500; // demand moves within some seconds
 const MOST_MOVES = 3; // moves of one plan; the next one sees what they change
 const CEILING_PART = 0.9; // the weight store counts the loads at other moments than this host
 const LOAD_BURST = 3;
 const SETTLE_MS = 3000; // all engines have written their entry by then
-const LEAST_DEMAND = 1; // work a second below which nobody is said to ask
 
 function computeAllowance(
   spent: readonly number[],
@@ -82,10 +81,6 @@
   return Math.min(MOST_LOADS_AT_ONCE, Math.ceil((loadsPerSecond * longestMs) / 1000) + 1);
 }
 
-function isSameServer(told: BackendServer | undefined, server: BackendServer): boolean {
-  return told === server || (told !== undefined && JSON.stringify(told) === JSON.stringify(server));
-}
-
 /** Starts leading the fleet under one fence. */
 export function leadFleet(options: LeadFleetOptions): FleetLead {
   const { clock, log, fence } = options;
@@ -93,8 +88,7 @@
   const incarnations = new Map<string, string>();
   const hosts = new Map<string, HostState>();
   const buckets = createFleetBuckets({ clock, levels: options.levels });
-  const demand = new Map<string, number>();
-  let demandAtMs = clock.monotonicMs();
+  const demand = createDemand(clock.monotonicMs());
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
   let loadsAtMs: number[] = [];
@@ -130,23 +124,6 @@
     }
   };
 
-  /** Work a second of each model, with older work counting less. */
-  const decayDemand = (): void => {
-    const nowMs = clock.monotonicMs();
-    const factor = 0.5 ** ((nowMs - demandAtMs) / DEMAND_HALF_LIFE_MS);
-    demandAtMs = nowMs;
-    for (const [key, work] of demand) demand.set(key, work * factor);
-  };
-
-  const listModels = (service: string, pool: EnginePool): CopyModel[] => {
-    // Decayed work of a steady demand is the rate times the mean life.
-    const lifeSeconds = DEMAND_HALF_LIFE_MS / 1000 / Math.LN2;
-    return pool.models.map(({ name, weightsMb }) => {
-      const work = (demand.get(`${service}/${name}`) ?? 0) / lifeSeconds;
-      return { name, weightsMb, demand: work < LEAST_DEMAND ? 0 : work };
-    });
-  };
-
   /** Starts the next move of a service; false when there is none, or no load is allowed now. */
   const moveOnce = (service: string, pool: EnginePool): boolean => {
     const own = [...rooms].filter(([id]) => servers.get(id)?.service === service);
@@ -155,7 +132,7 @@
     loadsAtMs = loadsAtMs.filter((atMs) => nowMs - atMs < 10_000);
     if (loading >= computeLoadsAtOnce(pool)) return false;
     if (!computeAllowance(loadsAtMs, pool.loadsPerSecond, nowMs)) return false;
-    const models = listModels(service, pool);
+    const models = demand.listModels(service, pool);
     const engines = own
       .filter(([, room]) => !room.getServer().isLeaving)
       .map(([id, room]) => {
@@ -192,7 +169,7 @@
   };
 
   const plan = async (): Promise<void> => {
-    decayDemand();
+    demand.decay(clock.monotonicMs());
     if (configuration === undefined || isStopped) return;
     if (clock.monotonicMs() - firstServerAtMs < SETTLE_MS || !(await options.ensureCommand()))
       return;
@@ -213,24 +190,6 @@
     return loads;
   };
 
-  /** Lists what has changed of the servers since a host was told. */
-  const listChanges = (state: HostState | undefined): Pick<FleetView, 'servers' | 'removed'> => {
-    if (state === undefined) return { servers: [], removed: [] };
-    const { toldServers } = state;
-    const removed = [...toldServers.keys()].filter((id) => !servers.has(id));
-    for (const id of removed) toldServers.delete(id);
-    const changed: FleetView['servers'] = [];
-    for (const [id, server] of servers) {
-      if (isSameServer(toldServers.get(id), server)) continue;
-      toldServers.set(id, server);
-      changed.push({
-        ...server,
-        models: server.models.map(({ name, adapters }) => ({ name, adapters: [...adapters] })),
-      });
-    }
-    return { servers: changed, removed };
-  };
-
   const listSuspects = (): string[] => {
     const fresh = listFresh();
     const votes = new Map<string, number>();
@@ -255,8 +214,7 @@
     recordReport: (report) => {
       const known = hosts.get(report.host);
       buckets.record(report);
-      for (const [key, work] of Object.entries(report.demand))
-        demand.set(key, (demand.get(key) ?? 0) + work);
+      demand.record(report.demand);
       hosts.set(report.host, {
         report,
         atMs: clock.monotonicMs(),
@@ -311,7 +269,7 @@
         suspects: listSuspects(),
         // A host that has not reported yet can't be told apart from one that was told already.
         isCurrent: isCurrent && state !== undefined,
-        ...listChanges(state),
+        ...listChanges(state?.toldServers ?? new Map<string, BackendServer>(servers), servers),
       };
     },
     grantAdapter: async ({ model, adapter, servers: wanted, missing }) => {
--- /dev/null
+++ b/src/serving/serveRequest/_lib/course.ts
@@ -0,0 +1,111 @@
+import type { RoutedRequest } from '../../../decisions/serving/types.js';
+import type { CallerReply, ServingRequest } from '../../../ports/serving.js';
+import type { ServingContext } from '../../types.js';
+
+/** Shortest time after which a caller is asked to come back, in milliseconds. */
+export const LEAST_RETRY_AFTER_MS = 150; // a few rounds of the fleet's figures
+const MOST_RETRY_AFTER_MS = 5000; // the longest load of a model
+
+/** Describes a request for routing. */
+export function describeRequest(request: ServingRequest): RoutedRequest {
+  const { parts, promptTokens, greatestOutput } = request;
+  const shared = parts.slice(0, -1);
+  const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+  const lastShared = shared[shared.length - 1];
+  const model = `${request.model ?? ''}/${request.adapter ?? ''}`;
+  return {
+    affinityKey: lastShared === undefined ? '' : `${model}/${lastShared.id}`,
+    sharedTokens,
+    ownTokens: Math.max(0, promptTokens - sharedTokens) + greatestOutput,
+    isUrgent: request.route.priority === 0,
+  };
+}
+
+/** What a request came to while it was served. */
+export interface Course {
+  context: ServingContext;
+  request: ServingRequest;
+  reply: CallerReply;
+  routed: RoutedRequest;
+  excluded: Set<string>;
+  sends: number;
+  attemptsRun: number;
+  /** Servers that said that they lack the adapter. */
+  missing: Set<string>;
+  lastEventId?: string;
+  lastReason: string;
+  lastServer?: string;
+}
+
+/** Computes the milliseconds that are left for a request. */
+export function computeRemainingMs({ context, request }: Course): number {
+  return request.deadlineAtMs - context.clock.monotonicMs();
+}
+
+/** Logs and counts the end of a request with what decided it. */
+export function recordEnd(
+  course: Course,
+  status: number,
+  reason: string,
+  inputs: object = {},
+): void {
+  const { context, request } = course;
+  const elapsedMs = context.clock.monotonicMs() - request.arrivedAtMs;
+  context.metrics.countRequest(request.route.name, status, reason);
+  context.metrics.recordDuration(request.route.name, elapsedMs);
+  context.log.info(
+    {
+      requestId: request.id,
+      route: request.route.name,
+      service: request.service,
+      organisation: request.organisation?.name,
+      model: request.model,
+      adapter: request.adapter,
+      server: course.lastServer,
+      status,
+      sends: course.sends,
+      attemptsRun: course.attemptsRun,
+      elapsedMs: Math.round(elapsedMs),
+      target: status >= 500 ? request.target : undefined,
+      version: context.getVersion(),
+      ...inputs,
+    },
+    reason,
+  );
+}
+
+/** What decided a failure, for the log. */
+type FailureInputs = { retryAfterMs?: number } & Record<string, unknown>;
+
+/** Ends a request with an answer of the system's own; a started answer is cut instead. */
+export function failRequest(
+  course: Course,
+  status: number,
+  reason: string,
+  { retryAfterMs, ...inputs }: FailureInputs = {},
+): void {
+  const { reply } = course;
+  recordEnd(course, status, reason, { retryAfterMs, ...inputs });
+  if (reply.signal.aborted) return;
+  if (reply.isHeadSent()) reply.cut();
+  else
+    reply.fail(
+      status,
+      reason,
+      retryAfterMs === undefined
+        ? undefined
+        : Math.min(MOST_RETRY_AFTER_MS, Math.max(LEAST_RETRY_AFTER_MS, retryAfterMs)),
+    );
+}
+
+/** Refuses a request that has not run, or owns up to not knowing when an attempt may have run. */
+export function refuseRequest(
+  course: Course,
+  reason: string,
+  retryAfterMs: number,
+  inputs: Record<string, unknown> = {},
+): void {
+  const all = { cause: course.lastReason, ...inputs };
+  if (course.attemptsRun > 0) failRequest(course, 502, 'attempt failed, outcome unknown', all);
+  else failRequest(course, 503, reason, { ...all, retryAfterMs });
+}
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -1,7 +1,7 @@
 import { computePatience } from '../../decisions/serving/computePatience/index.js';
 import { mayTryAgain } from '../../decisions/serving/mayTryAgain/index.js';
 import { rankServers } from '../../decisions/serving/rankServers/index.js';
-import type { RankedServer, RoutedRequest } from '../../decisions/serving/types.js';
+import type { RankedServer } from '../../decisions/serving/types.js';
 import {
   AttemptFailure,
   RepeatRule,
@@ -12,113 +12,23 @@
 import { PlaceOutcome } from '../createServerBook/index.js';
 import { AttemptEnd, runAttempt, type AttemptResult } from '../runAttempt/index.js';
 import type { ServingContext } from '../types.js';
+import {
+  computeRemainingMs,
+  describeRequest,
+  failRequest,
+  LEAST_RETRY_AFTER_MS,
+  recordEnd,
+  refuseRequest,
+  type Course,
+} from './_lib/course.js';
 
 const MOST_SENDS = 5; // refusals cost a round trip each; more of them don't find room either
 const MODEL_WAIT_MS = 800; // a caller that is told when to come back waits better than here
-const LEAST_RETRY_AFTER_MS = 150; // a few rounds of the fleet's figures
 const UNKNOWN_RETURN_MS = 1000; // servers come and go within seconds
-const MOST_RETRY_AFTER_MS = 5000; // the longest load of a model
 const ADAPTER_CHOICES = 3; // engines that the placing host may choose from
 const SHARED_WEIGHT = 0.3; // prompt starts are held once for all requests that share them
 const OUTPUT_WORK = 8; // a token of the answer costs about as much as so many of the prompt
 
-/** Describes a request for routing. */
-export function describeRequest(request: ServingRequest): RoutedRequest {
-  const { parts, promptTokens, greatestOutput } = request;
-  const shared = parts.slice(0, -1);
-  const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
-  const lastShared = shared[shared.length - 1];
-  const model = `${request.model ?? ''}/${request.adapter ?? ''}`;
-  return {
-    affinityKey: lastShared === undefined ? '' : `${model}/${lastShared.id}`,
-    sharedTokens,
-    ownTokens: Math.max(0, promptTokens - sharedTokens) + greatestOutput,
-    isUrgent: request.route.priority === 0,
-  };
-}
-
-/** What a request came to while it was served. */
-interface Course {
-  context: ServingContext;
-  request: ServingRequest;
-  reply: CallerReply;
-  routed: RoutedRequest;
-  excluded: Set<string>;
-  sends: number;
-  attemptsRun: number;
-  /** Servers that said that they lack the adapter. */
-  missing: Set<string>;
-  lastEventId?: string;
-  lastReason: string;
-  lastServer?: string;
-}
-
-function computeRemainingMs({ context, request }: Course): number {
-  return request.deadlineAtMs - context.clock.monotonicMs();
-}
-
-function recordEnd(course: Course, status: number, reason: string, inputs: object = {}): void {
-  const { context, request } = course;
-  const elapsedMs = context.clock.monotonicMs() - request.arrivedAtMs;
-  context.metrics.countRequest(request.route.name, status, reason);
-  context.metrics.recordDuration(request.route.name, elapsedMs);
-  context.log.info(
-    {
-      requestId: request.id,
-      route: request.route.name,
-      service: request.service,
-      organisation: request.organisation?.name,
-      model: request.model,
-      adapter: request.adapter,
-      server: course.lastServer,
-      status,
-      sends: course.sends,
-      attemptsRun: course.attemptsRun,
-      elapsedMs: Math.round(elapsedMs),
-      target: status >= 500 ? request.target : undefined,
-      version: context.getVersion(),
-      ...inputs,
-    },
-    reason,
-  );
-}
-
-/** What decided a failure, for the log. */
-type FailureInputs = { retryAfterMs?: number } & Record<string, unknown>;
-
-/** Ends a request with an answer of the system's own; a started answer is cut instead. */
-function failRequest(
-  course: Course,
-  status: number,
-  reason: string,
-  { retryAfterMs, ...inputs }: FailureInputs = {},
-): void {
-  const { reply } = course;
-  recordEnd(course, status, reason, { retryAfterMs, ...inputs });
-  if (reply.signal.aborted) return;
-  if (reply.isHeadSent()) reply.cut();
-  else
-    reply.fail(
-      status,
-      reason,
-      retryAfterMs === undefined
-        ? undefined
-        : Math.min(MOST_RETRY_AFTER_MS, Math.max(LEAST_RETRY_AFTER_MS, retryAfterMs)),
-    );
-}
-
-/** Refuses a request that has not run, or owns up to not knowing when an attempt may have run. */
-function refuseRequest(
-  course: Course,
-  reason: string,
-  retryAfterMs: number,
-  inputs: Record<string, unknown> = {},
-): void {
-  const all = { cause: course.lastReason, ...inputs };
-  if (course.attemptsRun > 0) failRequest(course, 502, 'attempt failed, outcome unknown', all);
-  else failRequest(course, 503, reason, { ...all, retryAfterMs });
-}
-
 function rankCandidates(course: Course): RankedServer[] {
   const { context, request, routed, excluded } = course;
   const { service, model, adapter } = request;
@@ -296,7 +206,7 @@
 }
 
 async function runCourse(course: Course): Promise<void> {
-  const { context, request, reply } = course;
+  const { request, reply } = course;
   for (;;) {
     const choice = await chooseServer(course);
     if (reply.signal.aborted) {
--- a/tests/support/platformEngine.ts
+++ b/tests/support/platformEngine.ts
@@ -87,24 +87,24 @@
   let connections = 0;
 
   const handleOrder = (order: Record<string, unknown>, response: ServerResponse): void => {
-    if (order['expect'] !== orderCount) {
+    if (order.expect !== orderCount) {
       sendJson(response, 409, {});
       return;
     }
     orders.push(order);
     orderCount += 1;
-    const model = String(order['model']);
-    const adapter = order['adapter'];
+    const model = String(order.model);
+    const adapter = order.adapter as string | undefined;
     if (adapter === undefined) {
-      if (order['op_type'] === 'load') models.set(model, new Set());
+      if (order.op_type === 'load') models.set(model, new Set());
       else models.delete(model);
-    } else if (order['op_type'] === 'load') models.get(model)?.add(String(adapter));
-    else models.get(model)?.delete(String(adapter));
-    sendJson(response, order['op_type'] === 'load' ? 202 : 200, {});
+    } else if (order.op_type === 'load') models.get(model)?.add(adapter);
+    else models.get(model)?.delete(adapter);
+    sendJson(response, order.op_type === 'load' ? 202 : 200, {});
   };
 
   const holds = (headers: IncomingMessage['headers']): boolean => {
-    const [model, adapter] = String(headers['model'] ?? '').split('/');
+    const [model, adapter] = String(headers.model ?? '').split('/');
     if (!model) return true;
     const held = models.get(model);
     return held !== undefined && (adapter === undefined || held.has(adapter));
--- a/tests/support/platformStore.ts
+++ b/tests/support/platformStore.ts
@@ -86,8 +86,8 @@
   };
 
   const transact = (body: Record<string, unknown>): { status: number; body: unknown } => {
-    const expect = body['expect'] as { key: string; revision: number }[];
-    const writes = body['set_keys'] as { key: string; value: string; lease?: number }[];
+    const expect = body.expect as { key: string; revision: number }[];
+    const writes = body.set_keys as { key: string; value: string; lease?: number }[];
     const isMet = expect.every((row) => (items.get(row.key)?.revision ?? 0) === row.revision);
     if (!isMet)
       return { status: 412, body: { items: expect.flatMap((row) => items.get(row.key) ?? []) } };
@@ -95,7 +95,7 @@
       return { status: 404, body: {} };
     revision += 1;
     for (const { key, value, lease = 0 } of writes) put(key, value, lease);
-    for (const key of body['remove'] as string[]) remove(key);
+    for (const key of body.remove as string[]) remove(key);
     return { status: 200, body: { revision } };
   };
 
@@ -137,7 +137,7 @@
     if (url.pathname === '/api/kv-txn') return transact(body);
     if (url.pathname === '/api/kv-lease') {
       nextLease += 1;
-      const ttlMs = Number(body['ttl_ms']);
+      const ttlMs = Number(body.ttl_ms);
       startLease(nextLease, ttlMs);
       return { status: 200, body: { lease: nextLease, ttl_ms: ttlMs } };
     }
