A stopping host takes no command; younger hosts take it first

Cause: a host in its planned stop renewed its entry and took the command again, so that nobody ordered for 11 s after it had ended. Change: a host that leaves grants and takes nothing; of those that wait the youngest goes first, as planned work has passed it. Ruled out: the handover time (3 s of the 11). Test: a stopping host takes no command.

--- a/src/serving/createEngineRoom/test.ts
+++ b/src/serving/createEngineRoom/test.ts
@@ -193,6 +193,9 @@
   t.match(await room.takeAdapter('m0', 'a1'), { server: 'e1', readyInMs: 0 });
   const grant = await room.takeAdapter('m0', 'a2');
   t.ok((grant?.readyInMs ?? 0) > 0);
+  const second = await room.takeAdapter('m0', 'a2');
+  t.ok((second?.readyInMs ?? 0) > 0, 'still on its way');
+  engine.advance(20);
   t.match(await room.takeAdapter('m0', 'a2'), { readyInMs: 0 });
   t.equal(await room.takeAdapter('m3', 'a1'), undefined, 'not without its model');
 });
--- a/src/serving/keepMembership/_lib/knownFleet.ts
+++ b/src/serving/keepMembership/_lib/knownFleet.ts
@@ -20,7 +20,8 @@
 
 /** What the store says of the fleet. */
 export interface KnownFleet {
-  hosts: Map<string, FleetHost>;
+  /** Hosts with the revision of their entry, which rises with each start. */
+  hosts: Map<string, FleetHost & { revision: number }>;
   command?: { holder: string; incarnation: string; revision: number };
   lastHolder: string;
   lastHolderRevision: number;
@@ -46,7 +47,7 @@
     } else if (key.startsWith(HOSTS_PREFIX)) {
       const name = key.slice(HOSTS_PREFIX.length);
       if (parsed === undefined) known.hosts.delete(name);
-      else known.hosts.set(name, { name, ...hostValue.parse(parsed) });
+      else known.hosts.set(name, { name, revision, ...hostValue.parse(parsed) });
     }
   } catch (error) {
     log.warn({ key, revision, error: String(error) }, 'an entry of the fleet can not be read');
--- a/src/serving/keepMembership/index.ts
+++ b/src/serving/keepMembership/index.ts
@@ -58,7 +58,8 @@
 const WATCH_PAUSE_MS = 200;
 const TICK_MS = 100; // four ticks within the longest gap that is taken for running
 const RENEWALS_A_TERM = 4; // two lost renewals are survived, and the margin for orders is kept
-const CONTEND_MS = 250; // spreads the hosts that try to take the command
+const CONTEND_MS = 80; // spreads the hosts that try to take the command
+const MOST_CONTEND_MS = 400; // a rank further back waits no longer
 
 /** Keeps this host listed, follows the other hosts, and takes the command when nobody holds it. */
 export function keepMembership(options: KeepMembershipOptions): Membership {
@@ -72,6 +73,7 @@
   let lease: (HeldLease & { id: number }) | undefined;
   let fence: number | undefined;
   let mayOrderAtMs = 0;
+  let isLeaving = false;
   let lastTickMs = clock.monotonicMs();
   let renewing: Promise<boolean> | undefined;
 
@@ -163,11 +165,18 @@
     setFence(command.revision);
   };
 
-  const isVacant = (): boolean => known.isListed && known.command === undefined;
+  const isVacant = (): boolean => !isLeaving && known.isListed && known.command === undefined;
+
+  /** Younger hosts come first: in planned work they have had their turn to be stopped. */
+  const computeContention = (): number => {
+    const own = known.hosts.get(self.name)?.revision ?? 0;
+    const younger = [...known.hosts.values()].filter(({ revision }) => revision > own).length;
+    return Math.min(MOST_CONTEND_MS, younger * CONTEND_MS) + random() * CONTEND_MS;
+  };
 
   const takeCommand = async (): Promise<void> => {
     if (lease === undefined || !isVacant()) return;
-    await wait(random() * CONTEND_MS, undefined, { signal });
+    await wait(computeContention(), undefined, { signal });
     if (!isVacant()) return;
     const { result } = await store.transact({
       conditions: [
@@ -189,6 +198,7 @@
   const keepLease = async (): Promise<void> => {
     while (!isAborted(signal)) {
       try {
+        if (isLeaving) return;
         if (lease === undefined) await grant();
         else await renewOnce();
         await takeCommand();
@@ -250,6 +260,7 @@
     },
     leave: async () => {
       clearInterval(ticks);
+      isLeaving = true;
       if (lease === undefined) return;
       const { id } = lease;
       loseLease();
--- a/tests/platformFleet.test.ts
+++ b/tests/platformFleet.test.ts
@@ -41,11 +41,16 @@
   const first = read()?.holder;
   const leaving = fleet.hosts.findIndex((_, index) => `host-${index + 1}` === first);
   const [host] = fleet.hosts.splice(leaving, 1);
-  await host?.stop();
-  await waitUntil(
-    'another host holds the command',
-    () => read() !== undefined && read()?.holder !== first,
-  );
+  const stopped = host?.stop();
+  const holders = new Set<string>();
+  await waitUntil('it has given the command up', () => read() === undefined);
+  await waitUntil('another host holds the command', () => {
+    const holder = read()?.holder;
+    if (holder !== undefined) holders.add(holder);
+    return holder !== undefined;
+  });
+  await stopped;
+  t.notOk(holders.has(first ?? ''), 'a stopping host takes no command');
   const [left] = fleet.hosts as [(typeof fleet.hosts)[number]];
   await waitUntil('it orders', async () => {
     const answer = await sendTo(left, '/chat/1', { body: 'x', headers: { model: 'oak/a7' } });
