Frame nothing that the server did not frame, keep a cut-off host to its part, refuse sooner in a stop

Changes: such answers end with their connection and a broken one is reset; a host that does not hear the fleet keeps its part of the burst; requests are refused from 2.7 s on.

--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -158,6 +158,8 @@
 export interface AnswerHead {
   status: number;
   headers: readonly string[];
+  /** False when only the end of its connection ends the answer, so that nobody can tell it whole. */
+  isFramed: boolean;
 }
 
 /** Where the answer to one request goes. */
@@ -173,7 +175,7 @@
   end: () => void;
   /** Sends a refusal or failure of the system's own. */
   fail: (status: number, reason: string, retryAfterMs?: number) => void;
-  /** Ends the connection, so that what was sent can't look complete. */
+  /** Resets the connection, so that what was sent can't look complete. */
   cut: () => void;
 }
 
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -75,7 +75,7 @@
 const CONFIGURATION_WAIT_MS = 2000; // a silent connection is noticed within the bound for new versions
 const CONFIGURATION_PAUSE_MS = 100;
 const UNSEEN_MS = 2500; // the balancer asks each second and takes a host out after two misses
-const REFUSE_MS = 3000; // later requests might not end within the grace period
+const REFUSE_MS = 2700; // callers who send later find a host that has been out of rotation for long
 const GRACE_MARGIN_MS = 700;
 const STOP_POLL_MS = 50;
 
--- a/src/serving/createOrganisationRates/index.ts
+++ b/src/serving/createOrganisationRates/index.ts
@@ -74,10 +74,15 @@
 
   const isFleetHeard = (nowMs: number): boolean => nowMs - fleetAtMs <= FLEET_FRESH_MS;
 
+  /** Part of the rate and burst that this host may use by itself. */
+  const computePart = (account: Account, nowMs: number): number =>
+    isFleetHeard(nowMs) ? 1 : computeOwnPart(hosts, account.share);
+
   const refill = (account: Account, nowMs: number): void => {
-    const part = isFleetHeard(nowMs) ? 1 : computeOwnPart(hosts, account.share);
+    const part = computePart(account, nowMs);
     const added = (account.rate * part * (nowMs - account.atMs)) / 1000;
-    account.level = Math.min(account.burst, account.level + added);
+    // Hosts that don't hear each other would each spend what was left when they last did.
+    account.level = Math.min(part * account.burst, account.level + added);
     account.atMs = nowMs;
   };
 
@@ -113,7 +118,7 @@
       const nowMs = clock.monotonicMs();
       const account = findAccount(organisation, nowMs);
       // A request above the whole burst waits for a full bucket, not for ever.
-      const needed = Math.min(tokens, account.burst);
+      const needed = Math.min(tokens, computePart(account, nowMs) * account.burst);
       if (account.level < needed) {
         const { level, rate } = account;
         // Callers that were all told the same moment would find the bucket empty again.
--- a/src/serving/createOrganisationRates/test.ts
+++ b/src/serving/createOrganisationRates/test.ts
@@ -126,3 +126,17 @@
   t.notOk(rates.isRushed(0.05));
   t.end();
 });
+
+t.test('keeps only its part of the burst once the fleet is not heard', (t) => {
+  let nowMs = 0;
+  const rates = createOrganisationRates({ clock: { monotonicMs: () => nowMs, wallMs: () => 0 } });
+  rates.setHosts(5);
+  rates.charge(depots, 0);
+  const levels = new Map([['depots', 10_000]]);
+  rates.setFleet({ levels, own: new Map([['depots', 0]]), shares: new Map([['depots', 0.2]]) });
+  nowMs = 1500;
+  let spent = 0;
+  while (rates.charge(depots, 100).isWithin) spent += 100;
+  t.ok(spent <= 2000, `spent ${spent}`);
+  t.end();
+});
--- a/tests/platformRequests.test.ts
+++ b/tests/platformRequests.test.ts
@@ -1,6 +1,21 @@
+import { connect } from 'node:net';
 import t from 'tap';
 import { EngineFate } from './support/platformEngine.js';
-import { sendTo, startPlatformFleet } from './support/platformFleet.js';
+import { KEY, sendTo, startPlatformFleet } from './support/platformFleet.js';
+
+/** Sends a request by hand and tells how its connection ended: undici takes a reset for an end. */
+function readEnd(port: number): Promise<'end' | 'reset'> {
+  return new Promise((resolve) => {
+    const socket = connect(port, '127.0.0.1');
+    socket.write(
+      `POST /certs/1 HTTP/1.1\r\nHost: depots.example\r\nAuthorization: Bearer ${KEY}\r\n` +
+        'Request-Id: by-hand\r\nContent-Length: 1\r\n\r\nx',
+    );
+    socket.on('error', () => resolve('reset'));
+    socket.on('end', () => resolve('end'));
+    socket.resume();
+  });
+}
 
 const certs = (id: string) => ({ id, service: 'certs' });
 const oak = (id: string, adapters: string[] = []) => ({ id, models: { oak: adapters } });
@@ -109,6 +124,8 @@
   fleet.engines[0]?.setFate(() => EngineFate.unframed);
   const answer = await sendTo(host, '/certs/1', { id: 'u1', body: 'x' });
   t.match(answer, { status: 200, body: 'answer to u1 by c1', isWhole: true });
+  t.equal(answer.headers['transfer-encoding'], undefined, 'this host frames nothing in its place');
+  t.equal(answer.headers.connection, 'close');
 });
 
 t.test('does not take a reset for the end of an answer without a length', async (t) => {
@@ -116,7 +133,9 @@
   t.teardown(fleet.close);
   const [host] = fleet.hosts as [(typeof fleet.hosts)[number]];
   fleet.engines[0]?.setFate(() => EngineFate.reset);
-  t.equal((await sendTo(host, '/certs/1', { body: 'x' })).isWhole, false);
+  t.equal(await readEnd(host.callerPort), 'reset');
+  fleet.engines[0]?.setFate(() => EngineFate.unframed);
+  t.equal(await readEnd(host.callerPort), 'end');
 });
 
 t.test('cuts a stream that its engine cut, and never makes it look whole', async (t) => {
