Sum up a round of the fleet once, add a fault soak of the platform program

Cause: each round summed loads, listed suspects and rendered all adapters once for every host; the connections of the fleet swallowed failures without a log line. Change: startRound sums up once and builds each host's view from that. Dead members of Membership and ServerBook are gone, CallerPort is the one type of the callers' server. The soak runs the platform program as processes before stand-ins of the store and the engines, with proxies between all of them, and checks what callers and engines saw.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -54,7 +54,7 @@
     },
   },
   {
-    files: ['scripts/**/*.mjs', 'eslint.config.js'],
+    files: ['scripts/**/*.mjs', 'tests/**/*.mjs', 'eslint.config.js'],
     languageOptions: {
       globals: {
         process: 'readonly',
--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -230,3 +230,17 @@
   keepOnly: (servers: ReadonlySet<string>) => void;
   close: () => void;
 }
+
+/** The server that callers reach. */
+export interface CallerPort {
+  /** Settles with the port. */
+  listen: () => Promise<number>;
+  setConfiguration: (configuration: ServingConfiguration) => void;
+  /** From now on answers end their connection. */
+  startLeaving: () => void;
+  /** From now on requests are refused as not run. */
+  startRefusing: () => void;
+  /** Takes no new connections and closes the idle ones. */
+  stopListening: () => void;
+  countActive: () => number;
+}
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -8,6 +8,7 @@
 import type {
   BackendCaller,
   BackendServer,
+  CallerPort,
   CallerReply,
   ServingConfiguration,
   ServingRequest,
@@ -23,17 +24,6 @@
 import type { ServingMetrics } from '../../../serving/servingMetrics/index.js';
 import type { ServingContext } from '../../../serving/types.js';
 
-/** The server that callers reach, as an adapter provides it. */
-export interface CallerPort {
-  /** Settles with the port. */
-  listen: () => Promise<number>;
-  setConfiguration: (configuration: ServingConfiguration) => void;
-  startLeaving: () => void;
-  startRefusing: () => void;
-  stopListening: () => void;
-  countActive: () => number;
-}
-
 /** What a host is given: ports that an adapter fills, and bounds of the deployment. */
 export interface FleetEntryOptions {
   host: string;
--- a/src/serving/createFleetLink/index.ts
+++ b/src/serving/createFleetLink/index.ts
@@ -2,6 +2,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { createConnection, type PeerConnection } from '../../adapters/peer/createConnection.js';
 import { isAborted } from '../../common/isAborted.js';
+import { formatError } from '../../errors/index.js';
 import type { Log } from '../../ports/log.js';
 import { parseFleetMessage, type FleetMessage } from '../fleetMessages.js';
 import type { FleetHost } from '../keepMembership/index.js';
@@ -121,8 +122,10 @@
         tries = 0;
         signal.removeEventListener('abort', connection.close);
         options.onHostLost(host.name);
-      } catch {
-        // The host is away; the next round tries again, and the store says when it is gone.
+      } catch (error) {
+        // The next round tries again, and the store says when the host is gone.
+        if (tries === 1)
+          log.warn({ peer: host.name, error: formatError(error) }, 'host of the fleet not reached');
       }
       await wait(RECONNECT_MS, undefined, { signal, ref: false }).catch(() => undefined);
     }
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -147,11 +147,9 @@
         .listHosts()
         .map(({ name }) => name),
     );
-    const hosts = countHosts();
-    const current = isCurrent();
-    for (const [name, connection] of connections)
-      connection.send(lead.buildView(name, hosts, current));
-    applyView(lead.buildView(host, hosts, current));
+    const buildView = lead.startRound(countHosts(), isCurrent());
+    for (const [name, connection] of connections) connection.send(buildView(name));
+    applyView(buildView(host));
   };
   const rounds = setInterval(runRound, ROUND_MS);
 
--- a/src/serving/createServerBook/index.ts
+++ b/src/serving/createServerBook/index.ts
@@ -57,9 +57,7 @@
   setLeavingModels: (leaving: ReadonlySet<string>) => void;
   setSuspects: (servers: ReadonlySet<string>) => void;
   find: (id: string) => BackendServer | undefined;
-  listAll: () => BackendServer[];
   listCandidates: (options: ListCandidatesOptions) => ServerCandidate[];
-  holdsAdapter: (id: string, model: string, adapter: string) => boolean;
   /** Corrects what is known of an engine until the leader or the engine says more. */
   recordAdapter: (id: string, model: string, adapter: string, isThere: boolean) => void;
   recordMissingModel: (id: string, model: string) => void;
@@ -201,7 +199,6 @@
       suspects = servers;
     },
     find: (id) => entries.get(id)?.server,
-    listAll: () => [...entries.values()].map(({ server }) => server),
     listCandidates: (request) => {
       const nowMs = clock.monotonicMs();
       const { service, model, excluded } = request;
@@ -221,10 +218,6 @@
       // A server in doubt is still better than none.
       return (sound.length > 0 ? sound : fit).map((entry) => toCandidate(entry, request, nowMs));
     },
-    holdsAdapter: (id, model, adapter) => {
-      const entry = entries.get(id);
-      return entry !== undefined && holdsAdapter(entry, model, adapter);
-    },
     recordAdapter: (id, model, adapter, isThere) => {
       const untilMs = clock.monotonicMs() + CORRECTION_MS;
       entries.get(id)?.corrections.set(`${model}/${adapter}`, { isThere, untilMs });
--- a/src/serving/keepMembership/index.ts
+++ b/src/serving/keepMembership/index.ts
@@ -26,8 +26,6 @@
 /** This host's part in the fleet: its entry, the other hosts, and the command over engines. */
 export interface Membership {
   listHosts: () => FleetHost[];
-  /** The fence under which this host holds the command; undefined when it does not. */
-  getFence: () => number | undefined;
   /** Makes sure that this host may order now, with the store where needed. */
   ensureCommand: () => Promise<boolean>;
   /** Gives up the entry and the command. */
@@ -247,7 +245,6 @@
 
   return {
     listHosts: () => [...known.hosts.values()],
-    getFence: () => fence,
     ensureCommand: async () => {
       if (fence === undefined || lease === undefined) return false;
       if (clock.monotonicMs() < mayOrderAtMs) return false;
--- a/src/serving/leadFleet/index.ts
+++ b/src/serving/leadFleet/index.ts
@@ -41,14 +41,15 @@
   /** Takes which hosts are listed in the fleet now. */
   setListed: (hosts: readonly string[]) => void;
   dropHost: (host: string) => void;
-  /** Builds what one host is told; it is told of each engine's adapters when they changed. */
-  buildView: (host: string, hosts: number, isCurrent: boolean) => FleetView;
+  /** Sums up the fleet once; the result builds what each host is told. */
+  startRound: (hosts: number, isCurrent: boolean) => (host: string) => FleetView;
   grantAdapter: (wish: AdapterWish) => Promise<AdapterGrant | undefined>;
   stop: () => void;
 }
 
 interface HostState {
   report: FleetReport;
+  inUse: ReadonlySet<string>;
   atMs: number;
   /** Adapters of each engine that the host was told last. */
   told: Map<string, string>;
@@ -103,7 +104,7 @@
   };
 
   const isInUse = (server: string, adapter: string): boolean =>
-    listFresh().some(({ report }) => report.inUse.includes(`${server}/${adapter}`));
+    listFresh().some(({ inUse }) => inUse.has(`${server}/${adapter}`));
 
   const findPool = (service: string): EnginePool | undefined =>
     configuration?.services.get(service)?.engines;
@@ -217,6 +218,7 @@
       demand.record(report.demand);
       hosts.set(report.host, {
         report,
+        inUse: new Set(report.inUse),
         atMs: clock.monotonicMs(),
         told: known?.told ?? new Map<string, string>(),
         toldServers: known?.toldServers ?? new Map<string, BackendServer>(),
@@ -240,36 +242,40 @@
       hosts.get(host)?.told.clear();
       hosts.get(host)?.toldServers.clear();
     },
-    buildView: (host, hostCount, isCurrent) => {
-      const state = hosts.get(host);
-      const adapters: FleetView['adapters'] = {};
-      for (const [id, room] of rooms) {
+    startRound: (hostCount, isCurrent) => {
+      const loads = sumLoads();
+      const suspects = listSuspects();
+      const adapters = [...rooms].map(([id, room]) => {
         const list = room.listAdapters();
-        const text = list.join();
-        if (state?.told.get(id) === text) continue;
-        state?.told.set(id, text);
-        adapters[id] = list;
-      }
-      return {
-        type: 'view',
-        fence,
-        version: configuration?.version ?? 0,
-        hosts: hostCount,
-        loads: sumLoads(),
-        ...buckets.describe(host),
-        ownLoads: state?.report.loads ?? {},
-        adapters,
-        leavingModels: [...rooms].flatMap(([id, room]) =>
-          room.listLeaving().map((model) => `${id}/${model}`),
-        ),
-        loadingModels: [...rooms].flatMap(([id, room]) => {
-          const model = room.getLoading();
-          return model === undefined ? [] : [`${servers.get(id)?.service ?? ''}/${model}`];
-        }),
-        suspects: listSuspects(),
-        // A host that has not reported yet can't be told apart from one that was told already.
-        isCurrent: isCurrent && state !== undefined,
-        ...listChanges(state?.toldServers ?? new Map<string, BackendServer>(servers), servers),
+        return { id, list, text: list.join() };
+      });
+      const leavingModels = [...rooms].flatMap(([id, room]) =>
+        room.listLeaving().map((model) => `${id}/${model}`),
+      );
+      const loadingModels = [...rooms].flatMap(([id, room]) => {
+        const model = room.getLoading();
+        return model === undefined ? [] : [`${servers.get(id)?.service ?? ''}/${model}`];
+      });
+      return (host) => {
+        const state = hosts.get(host);
+        const changed = adapters.filter(({ id, text }) => state?.told.get(id) !== text);
+        for (const { id, text } of changed) state?.told.set(id, text);
+        return {
+          type: 'view',
+          fence,
+          version: configuration?.version ?? 0,
+          hosts: hostCount,
+          loads,
+          ...buckets.describe(host),
+          ownLoads: state?.report.loads ?? {},
+          adapters: Object.fromEntries(changed.map(({ id, list }) => [id, list])),
+          leavingModels,
+          loadingModels,
+          suspects,
+          // A host that has not reported yet can't be told apart from one that was told already.
+          isCurrent: isCurrent && state !== undefined,
+          ...listChanges(state?.toldServers ?? new Map<string, BackendServer>(servers), servers),
+        };
       };
     },
     grantAdapter: async ({ model, adapter, servers: wanted, missing }) => {
--- /dev/null
+++ b/tests/soak/runSoak.ts
@@ -0,0 +1,121 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { applyFault } from './applyFault.js';
+import { checkPromises } from './checkPromises.js';
+import { planFaults } from './planFaults.js';
+import { startCallers } from './startCallers.js';
+import { startSoakFleet, type SoakFleet } from './startSoakFleet.js';
+import { FaultKind, type Fault, type SoakRecord, type Violation } from './types.js';
+
+/** Options of a soak. */
+export interface RunSoakOptions {
+  seed: number;
+  /** Time in which faults begin, in milliseconds. */
+  lengthMs: number;
+  hosts?: number;
+  engines?: number;
+  /** Mean pause between two faults in milliseconds. */
+  pauseMs?: number;
+  onFault?: (fault: Fault) => void;
+}
+
+/** What a soak came to. */
+export interface SoakResult {
+  faults: Fault[];
+  record: SoakRecord;
+  violations: Violation[];
+  /** Last log lines of each host. */
+  logs: Map<string, Record<string, unknown>[]>;
+}
+
+const RECOVERY_MS = 12_000; // after the last fault the fleet must serve again
+const CALM_MS = 4000; // load after the recovery, from which it is judged
+const CALLERS_A_HOST = 8;
+/** Faults that leave every host in touch. */
+const HARMLESS: ReadonlySet<FaultKind> = new Set([FaultKind.reload, FaultKind.configuration]);
+const STORE_KINDS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.store,
+  FaultKind.compact,
+  FaultKind.killAll,
+]);
+
+function findDisturbedHost(fleet: SoakFleet, { kind, target }: Fault): string | undefined {
+  const isEngine = kind.startsWith('engine') || kind === FaultKind.lateOrders;
+  if (STORE_KINDS.has(kind) || isEngine) return undefined;
+  return fleet.hosts[target % fleet.hosts.length]?.name;
+}
+
+function collectSeen(fleet: SoakFleet, record: SoakRecord): void {
+  for (const { engine } of fleet.engines) {
+    for (const { id, atMs, target, headers } of engine.ran)
+      record.runs.push({
+        id,
+        engine: engine.id,
+        atMs,
+        target,
+        organisation: String(headers.tenant),
+        tokens: String(headers['token-count'] ?? '10')
+          .split(',')
+          .reduce((sum, count) => sum + Number(count), 0),
+        lastEventId: Number(headers['last-event-id'] ?? 0),
+      });
+    for (const order of engine.orders)
+      record.orders.push({
+        engine: engine.id,
+        atMs: Number(order.atMs),
+        holder: String(order.holder),
+        fence: Number(order.fence),
+        action: String(order.op_type),
+        model: String(order.model),
+        adapter: order.adapter as string | undefined,
+        held: order.held as SoakRecord['orders'][number]['held'],
+      });
+  }
+  record.runs.sort((one, other) => one.atMs - other.atMs);
+  record.orders.sort((one, other) => one.atMs - other.atMs);
+}
+
+/** Runs the real programs as processes under the faults of a seed, and checks what was seen. */
+export async function runSoak(options: RunSoakOptions): Promise<SoakResult> {
+  const { seed, lengthMs, hosts = 4, engines = 4, pauseMs, onFault } = options;
+  const fleet = await startSoakFleet({ hosts, engines });
+  const record: SoakRecord = {
+    requests: [],
+    runs: [],
+    orders: [],
+    disturbances: [],
+    versions: [{ version: 1, atMs: performance.now() }],
+    departures: [],
+    stops: [],
+    calmFromMs: 0,
+  };
+  const faults = planFaults({ seed, lengthMs, hosts, engines: fleet.engines.length, pauseMs });
+  const logs = new Map<string, Record<string, unknown>[]>();
+  try {
+    const callers = startCallers(fleet, record, hosts * CALLERS_A_HOST);
+    const startedAtMs = performance.now();
+    /** Faults of one kind on one target come one after the other; all others overlap. */
+    const chains = new Map<string, Promise<void>>();
+    for (const fault of faults) {
+      await wait(Math.max(0, startedAtMs + fault.atMs - performance.now()));
+      onFault?.(fault);
+      const host = findDisturbedHost(fleet, fault);
+      const key = `${fault.kind}/${fault.target}`;
+      const run = async (): Promise<void> => {
+        const disturbance = { kind: fault.kind, host, fromMs: performance.now(), toMs: Infinity };
+        if (!HARMLESS.has(fault.kind)) record.disturbances.push(disturbance);
+        await applyFault(fleet, record, fault);
+        disturbance.toMs = performance.now();
+      };
+      chains.set(key, (chains.get(key) ?? Promise.resolve()).then(run));
+    }
+    await Promise.all(chains.values());
+    record.calmFromMs = performance.now();
+    await wait(RECOVERY_MS + CALM_MS);
+    await callers.stop();
+    collectSeen(fleet, record);
+    for (const { name, process } of fleet.hosts) logs.set(name, process?.lines.slice(-200) ?? []);
+  } finally {
+    await fleet.close();
+  }
+  return { faults, record, violations: checkPromises(record, RECOVERY_MS), logs };
+}
--- /dev/null
+++ b/tests/soak/startSoakFleet.ts
@@ -0,0 +1,169 @@
+import { createServer, type AddressInfo } from 'node:net';
+import { request as sendRequest } from 'undici';
+import { startPlatformEngine, type PlatformEngine } from '../support/platformEngine.js';
+import { startPlatformStore, type PlatformStore } from '../support/platformStore.js';
+import { startProcess, type RunningProcess } from '../support/processes.js';
+import { waitUntil } from '../support/waitUntil.js';
+import { buildSoakConfiguration } from './buildSoakConfiguration.js';
+import { startProxy, type Proxy } from './startProxy.js';
+
+/** A host of the soak: a process, its ports, and proxies before and behind it. */
+export interface SoakHost {
+  name: string;
+  callerPort: number;
+  readyPort: number;
+  /** Between the host and the store. */
+  storeProxy: Proxy;
+  /** Between the other hosts and this one. */
+  peerProxy: Proxy;
+  process?: RunningProcess;
+  /** Counts the starts of the process. */
+  incarnation: number;
+  start: () => void;
+  /** Ends with what ends and starts the process now; the next one waits for it. */
+  turn: Promise<void>;
+}
+
+/** An engine of the soak, reached through a proxy. */
+export interface SoakEngine {
+  engine: PlatformEngine;
+  proxy: Proxy;
+  describe: (change?: Record<string, unknown>) => Record<string, unknown>;
+}
+
+/** The fleet of a soak: hosts as processes, the store and the engines in this process. */
+export interface SoakFleet {
+  store: PlatformStore;
+  hosts: SoakHost[];
+  engines: SoakEngine[];
+  close: () => Promise<void>;
+}
+
+const FAR_SIDE = new URL('../../../tests/soak/clockShift.mjs', import.meta.url).pathname;
+const HEAP_MB = 160; // as the deploy file has it
+
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) =>
+          server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port)),
+        ),
+    ),
+  );
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
+/** Reads whether a host takes callers; false when it does not answer. */
+export async function readIsReady({ readyPort }: SoakHost): Promise<boolean> {
+  try {
+    const answer = await sendRequest(`http://127.0.0.1:${readyPort}/api/ready`, {
+      signal: AbortSignal.timeout(300),
+    });
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    // Not running, or paused: no callers are sent there.
+    return false;
+  }
+}
+
+async function createHost(
+  index: number,
+  store: PlatformStore,
+  peerPorts: Map<string, number>,
+): Promise<SoakHost> {
+  const [callerPort = 0, readyPort = 0, peerPort = 0, metricsPort = 0] = await findFreePorts(4);
+  const name = `host-${index}`;
+  const storeProxy = await startProxy(store.endpoint.port);
+  const peerProxy = await startProxy(peerPort);
+  peerPorts.set(name, peerProxy.port);
+  const host: SoakHost = {
+    name,
+    callerPort,
+    readyPort,
+    storeProxy,
+    peerProxy,
+    incarnation: 0,
+    turn: Promise.resolve(),
+    start: () => {
+      host.incarnation += 1;
+      const flags = {
+        host: name,
+        'data-centre': index % 2 === 0 ? 'a' : 'b',
+        callers: `127.0.0.1:${callerPort}`,
+        ready: `127.0.0.1:${readyPort}`,
+        store: `127.0.0.1:${storeProxy.port}`,
+        'peer-port': peerPort,
+        'metrics-port': metricsPort,
+      };
+      host.process = startProcess(
+        name,
+        '../dist-tools/platform/main.js',
+        Object.entries(flags).map(([flag, value]) => `--${flag}=${value}`),
+        { NODE_OPTIONS: `--max-old-space-size=${HEAP_MB} --import=${FAR_SIDE}` },
+      );
+    },
+  };
+  return host;
+}
+
+async function createEngine(id: string, service: string, models: Record<string, string[]>) {
+  const engine = await startPlatformEngine({ id, service, models, events: 8, eventMs: 15 });
+  const proxy = await startProxy(engine.port);
+  const describe = (change: Record<string, unknown> = {}): Record<string, unknown> =>
+    engine.describe({ address: `127.0.0.1:${proxy.port}`, ...change });
+  return { engine, proxy, describe };
+}
+
+/** Starts a fleet and waits until all hosts take callers. */
+export async function startSoakFleet(options: {
+  hosts: number;
+  engines: number;
+}): Promise<SoakFleet> {
+  const peerPorts = new Map<string, number>();
+  const store = await startPlatformStore({
+    present: (key, value) => {
+      const port = peerPorts.get(key.replace('bronzelanding/hosts/', ''));
+      if (port === undefined) return value;
+      return JSON.stringify({ ...(JSON.parse(value) as object), port });
+    },
+  });
+  store.put('op/config', buildSoakConfiguration(1));
+  const engines: SoakEngine[] = [];
+  for (let index = 0; index < options.engines; index += 1) {
+    const models: Record<string, string[]> = index % 2 === 0 ? { oak: ['a1'] } : { pine: [] };
+    engines.push(await createEngine(`engine-${index}`, 'llm', models));
+  }
+  for (const id of ['certs-0', 'certs-1', 'certs-2'])
+    engines.push(await createEngine(id, 'certs', {}));
+  for (const { engine, describe } of engines) store.put(`servers/${engine.id}`, describe());
+  const hosts: SoakHost[] = [];
+  for (let index = 0; index < options.hosts; index += 1)
+    hosts.push(await createHost(index, store, peerPorts));
+  for (const host of hosts) host.start();
+  for (const host of hosts) await waitUntil(`${host.name} is ready`, () => readIsReady(host));
+  return {
+    store,
+    hosts,
+    engines,
+    close: async () => {
+      for (const { process } of hosts) {
+        process?.kill('SIGCONT');
+        process?.kill('SIGKILL');
+        await process?.exited;
+      }
+      for (const { engine, proxy } of engines) {
+        await proxy.close();
+        await engine.close();
+      }
+      for (const { storeProxy, peerProxy } of hosts) {
+        await storeProxy.close();
+        await peerProxy.close();
+      }
+      await store.close();
+    },
+  };
+}
--- a/tests/support/platformEngine.ts
+++ b/tests/support/platformEngine.ts
@@ -31,6 +31,8 @@
 /** A request as the engine saw it. */
 export interface SeenRequest {
   id: string;
+  /** Monotonic milliseconds. */
+  atMs: number;
   headers: IncomingMessage['headers'];
   target: string;
   body: string;
@@ -47,6 +49,10 @@
   models: Map<string, Set<string>>;
   /** Decides each request's fate; serves all by default. */
   setFate: (choose: (request: SeenRequest) => EngineFate) => void;
+  /** While set, orders get no answer and are carried out some time later. */
+  setLateOrders: (areLate: boolean) => void;
+  /** Starts anew under the same id: nothing is held, and nothing of before is known. */
+  restart: () => void;
   /** Entry that describes the engine in the store. */
   describe: (change?: Record<string, unknown>) => Record<string, unknown>;
   countConnections: () => number;
@@ -64,6 +70,8 @@
   eventMs?: number;
 }
 
+const LATE_ORDER_MS = 2000; // workers carry late orders out 2 to 12 s later
+
 async function readText(incoming: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of incoming as AsyncIterable<Buffer>) chunks.push(chunk);
@@ -85,13 +93,28 @@
   let chooseFate: (request: SeenRequest) => EngineFate = () => EngineFate.serve;
   let orderCount = 0;
   let connections = 0;
+  let areOrdersLate = false;
+  let born = 1;
 
   const handleOrder = (order: Record<string, unknown>, response: ServerResponse): void => {
+    if (areOrdersLate) {
+      const bornBefore = born;
+      response.destroy();
+      setTimeout(() => {
+        if (order.expect === orderCount && born === bornBefore) carryOut(order);
+      }, LATE_ORDER_MS);
+      return;
+    }
     if (order.expect !== orderCount) {
       sendJson(response, 409, {});
       return;
     }
-    orders.push(order);
+    carryOut(order);
+    sendJson(response, order.op_type === 'load' ? 202 : 200, {});
+  };
+
+  const carryOut = (order: Record<string, unknown>): void => {
+    orders.push({ ...order, atMs: performance.now(), held: describeModels() });
     orderCount += 1;
     const model = String(order.model);
     const adapter = order.adapter as string | undefined;
@@ -100,9 +123,11 @@
       else models.delete(model);
     } else if (order.op_type === 'load') models.get(model)?.add(adapter);
     else models.get(model)?.delete(adapter);
-    sendJson(response, order.op_type === 'load' ? 202 : 200, {});
   };
 
+  const describeModels = (): { name: string; version: number; adapters: string[] }[] =>
+    [...models].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }));
+
   const holds = (headers: IncomingMessage['headers']): boolean => {
     const [model, adapter] = String(headers.model ?? '').split('/');
     if (!model) return true;
@@ -163,18 +188,13 @@
       response.destroy();
       return;
     }
-    if (fate === EngineFate.unframed) {
-      socket?.end(
-        `HTTP/1.1 200 OK\r\nRequest-Id: ${answerId}\r\nServer-Seal: seal-${id}\r\n\r\n${body}`,
-      );
-      return;
-    }
-    if (fate === EngineFate.reset) {
+    if (fate === EngineFate.unframed || fate === EngineFate.reset) {
       socket?.write(
         `HTTP/1.1 200 OK\r\nRequest-Id: ${answerId}\r\nServer-Seal: seal-${id}\r\n\r\n${body}`,
       );
-      await wait(eventMs);
-      socket?.resetAndDestroy();
+      if (fate === EngineFate.reset) await wait(eventMs);
+      if (fate === EngineFate.reset) socket?.resetAndDestroy();
+      else socket?.end();
       return;
     }
     const status = fate === EngineFate.error ? 500 : 200;
@@ -204,12 +224,12 @@
         return;
       }
       if (target === '/api/report') {
-        const held = [...models].map(([name, adapters]) => ({
-          name,
-          version: 1,
-          adapters: [...adapters],
-        }));
-        sendJson(response, 200, { models: held, busy: false, sequence: orderCount, loading: [] });
+        sendJson(response, 200, {
+          models: describeModels(),
+          busy: false,
+          sequence: orderCount,
+          loading: [],
+        });
         return;
       }
       if (!holds(incoming.headers)) {
@@ -218,7 +238,14 @@
       }
       const requestId = String(incoming.headers['request-id'] ?? '');
       await serve(
-        { id: requestId, headers: incoming.headers, target, body, hasEnded: false },
+        {
+          id: requestId,
+          atMs: performance.now(),
+          headers: incoming.headers,
+          target,
+          body,
+          hasEnded: false,
+        },
         response,
       );
     });
@@ -247,13 +274,19 @@
       state: 'ready',
       cold_remaining_ms: 0,
       sequence: 1,
-      models: [...models].map(([name, adapters]) => ({
-        name,
-        version: 1,
-        adapters: [...adapters],
-      })),
+      born,
+      models: describeModels(),
       ...change,
     }),
+    setLateOrders: (areLate) => {
+      areOrdersLate = areLate;
+    },
+    restart: () => {
+      server.closeAllConnections();
+      models.clear();
+      orderCount = 0;
+      born += 1;
+    },
     countConnections: () => connections,
     close: async () => {
       server.closeAllConnections();
--- a/tests/support/platformStore.ts
+++ b/tests/support/platformStore.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as wait } from 'node:timers/promises';
 
 /** How the stand-in of the platform's store treats calls. */
 export const StoreMood = {
@@ -10,6 +11,10 @@
   silent: 'silent',
   /** Does what is asked and closes the connection without an answer. */
   lost: 'lost',
+  /** Does writes some seconds after their connection was closed, if their conditions still hold. */
+  late: 'late',
+  /** Answers after half a second. */
+  slow: 'slow',
 } as const;
 export type StoreMood = (typeof StoreMood)[keyof typeof StoreMood];
 
@@ -40,6 +45,15 @@
   close: () => Promise<void>;
 }
 
+/** Options of the stand-in. */
+export interface PlatformStoreOptions {
+  /** Changes an item's text as it is read. */
+  present?: (key: string, value: string) => string;
+}
+
+const LATE_MS = 2000; // the shortest delay of a late write on the platform is 1 s, the longest 6 s
+const SLOW_MS = 500;
+
 async function readJson(incoming: IncomingMessage): Promise<Record<string, unknown>> {
   const chunks: Buffer[] = [];
   for await (const chunk of incoming as AsyncIterable<Buffer>) chunks.push(chunk);
@@ -49,7 +63,10 @@
 }
 
 /** Starts a stand-in of the platform's store. */
-export async function startPlatformStore(): Promise<PlatformStore> {
+export async function startPlatformStore(
+  options: PlatformStoreOptions = {},
+): Promise<PlatformStore> {
+  const { present = (_: string, value: string): string => value } = options;
   const items = new Map<string, Item>();
   const leases = new Map<number, { timer: NodeJS.Timeout; ttlMs: number }>();
   const watchers = new Set<() => void>();
@@ -60,6 +77,10 @@
   let mood: StoreMood = StoreMood.sound;
   let calls = 0;
 
+  const show = (item: Item): Item => {
+    const text = Buffer.from(item.value, 'base64').toString();
+    return { ...item, value: Buffer.from(present(item.key, text)).toString('base64') };
+  };
   const record = (change: Change): void => {
     changes.push(change);
     for (const wake of [...watchers]) wake();
@@ -118,8 +139,8 @@
         watchers.add(wake);
       });
     if (after < oldest) return { status: 410, body: {} };
-    const events = find().map(
-      ({ key, revision: at, item }) => item ?? { key, revision: at, tombstone: true },
+    const events = find().map(({ key, revision: at, item }) =>
+      item === undefined ? { key, revision: at, tombstone: true } : show(item),
     );
     return { status: 200, body: { events, store_revision: revision } };
   };
@@ -130,7 +151,7 @@
     const lease = Number(url.pathname.split('/').pop());
     if (url.pathname === '/api/kv-range') {
       const prefix = url.searchParams.get('prefix') ?? '';
-      const found = [...items.values()].filter(({ key }) => key.startsWith(prefix));
+      const found = [...items.values()].filter(({ key }) => key.startsWith(prefix)).map(show);
       return { status: 200, body: { items: found, has_more: false, store_revision: revision } };
     }
     if (url.pathname === '/api/kv-watch') return watch(url.searchParams);
@@ -167,7 +188,16 @@
       answer(response, 503, {});
       return;
     }
-    void handle(incoming).then(({ status, body }) => {
+    const isWrite = incoming.url === '/api/kv-txn';
+    if (atCall === StoreMood.late && isWrite) {
+      void readJson(incoming).then((body) => {
+        response.destroy();
+        setTimeout(() => transact(body), LATE_MS);
+      });
+      return;
+    }
+    void handle(incoming).then(async ({ status, body }) => {
+      if (atCall === StoreMood.slow) await wait(SLOW_MS);
       if (atCall === StoreMood.lost && incoming.method === 'POST') response.destroy();
       else answer(response, status, body);
     });
