Wake idle hosts less: watches wait for the holder of the command, rushes are told when tokens are spent

The watch of the servers paused 500 ms before a wait of its own, so that the holder seemed not to hear the store and all hosts listed and watched everything themselves; each host also woke some 70 times a second. Change: a pause counts as waiting; a feed is current by the last answer of each watch; watches of a fed host wait for an event, rushes and pauses are looked for only when there is a reason.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -158,8 +158,8 @@
     ttlMs: LEASE_TTL_MS,
     handoverMs: bounds.leaseMs,
     signal,
-    isFed: part.isFed,
-    onAnswer: (isAnswered) => part.recordAnswer(StoreWatch.fleet, isAnswered),
+    feed: part,
+    onAnswer: () => part.recordAnswer(StoreWatch.fleet),
     onHosts: part.setHosts,
     onCommand: part.setFence,
   });
@@ -179,8 +179,8 @@
           takeConfiguration(value, 'store');
     },
     onReachable: () => undefined,
-    onAnswer: (isAnswered) => part.recordAnswer(StoreWatch.configuration, isAnswered),
-    isFed: part.isFed,
+    onAnswer: () => part.recordAnswer(StoreWatch.configuration),
+    feed: part,
   });
   const servers = followServers({
     store,
@@ -195,8 +195,8 @@
       part.setServers(known);
       options.backends.keepOnly(new Set([...known.values()].map(({ incarnation: id }) => id)));
     },
-    onAnswer: (isAnswered) => part.recordAnswer(StoreWatch.servers, isAnswered),
-    isFed: part.isFed,
+    onAnswer: () => part.recordAnswer(StoreWatch.servers),
+    feed: part,
   });
   log.info({ incarnation, address: options.address, peerPort, callerPort }, 'started');
 
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -1,4 +1,4 @@
-import { isFeedCurrent, type WatchState } from '../../decisions/command/isFeedCurrent/index.js';
+import { isFeedCurrent } from '../../decisions/command/isFeedCurrent/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 import { RUSH_PART } from '../createFleetBuckets/index.js';
 import { createFleetLink, type FleetConnection } from '../createFleetLink/index.js';
@@ -28,7 +28,9 @@
   let isHolderCurrent = false;
   /** Models that some engine is loading, and since when this host knows. */
   const loadingSinceMs = new Map<string, number>();
-  const watches = new Map<StoreWatch, WatchState>();
+  const answersAtMs = new Map<StoreWatch, number>();
+  /** Watches of the store that go on once nobody feeds this host. */
+  const unfedWaiters: (() => void)[] = [];
   const work = createWorkBook();
   const connections = new Map<string, FleetConnection>();
   const wishes = createWishes((message) => link.sendToHolder(message));
@@ -88,10 +90,13 @@
   const handleHostMessage = (message: FleetMessage, connection: FleetConnection): void => {
     if (message.type === 'report') {
       lead?.recordReport(message);
+      planRush();
       if (message.version > (configuration?.version ?? 0))
         connection.send({ type: 'configurationRequest' });
-    } else if (message.type === 'admissions') lead?.recordAdmissions(message);
-    else if (message.type === 'wish') void answerWish(message, connection);
+    } else if (message.type === 'admissions') {
+      lead?.recordAdmissions(message);
+      planRush();
+    } else if (message.type === 'wish') void answerWish(message, connection);
     else if (message.type === 'configurationRequest') passConfiguration(connection);
     else if (message.type === 'configuration') options.onConfiguration(message.value);
   };
@@ -127,12 +132,15 @@
     Math.max(1, connections.size + 1, options.membership().listHosts().length);
 
   const forgetAnswers = (): void => {
-    for (const watch of Object.values(StoreWatch))
-      watches.set(watch, { answeredAtMs: -Infinity, hasFailed: false });
+    for (const watch of Object.values(StoreWatch)) answersAtMs.set(watch, -Infinity);
   };
   forgetAnswers();
 
+  const isFed = (): boolean =>
+    lead === undefined && isHolderCurrent && clock.monotonicMs() - viewAtMs < FED_FRESH_MS;
+
   const runRound = (): void => {
+    if (!isFed()) for (const resume of unfedWaiters.splice(0)) resume();
     const report = buildReport();
     if (lead === undefined) {
       if (!link.sendToHolder(report)) work.giveBack(report.demand);
@@ -147,7 +155,7 @@
     );
     const buildView = lead.startRound(
       countHosts(),
-      isFeedCurrent([...watches.values()], clock.monotonicMs()),
+      isFeedCurrent([...answersAtMs.values()], clock.monotonicMs()),
     );
     for (const [name, connection] of connections) connection.send(buildView(name));
     applyView(buildView(host));
@@ -161,13 +169,11 @@
       shares: new Map(Object.entries(message.shares)),
     });
 
-  let rushedAtMs = 0;
+  let rushTimer: NodeJS.Timeout | undefined;
   /** Tells what an organisation in a rush has spent, so that hosts don't spend the same tokens. */
   const tellRush = (): void => {
-    const nowMs = clock.monotonicMs();
-    if (nowMs - rushedAtMs < RUSH_HOST_MS * connections.size) return;
+    rushTimer = undefined;
     if (lead === undefined && !rates.isRushed(RUSH_PART)) return;
-    rushedAtMs = nowMs;
     const admitted = Object.fromEntries(rates.getAdmitted());
     const admissions = { host, incarnation: options.incarnation, admitted };
     rates.markReported();
@@ -185,7 +191,11 @@
     applyLevels(own);
     lead.markLevelsTold();
   };
-  const rushes = setInterval(tellRush, RUSH_MS);
+  /** Looks soon whether others must hear of what was spent. */
+  const planRush = (): void => {
+    rushTimer ??= setTimeout(tellRush, Math.max(RUSH_MS, RUSH_HOST_MS * connections.size));
+  };
+  rates.onSpent(planRush);
 
   const isPlacing = (): boolean => clock.monotonicMs() - viewAtMs < VIEW_FRESH_MS;
 
@@ -244,17 +254,14 @@
       lead?.setServers(next);
     },
     recordUse: (server, name, change) => work.recordUse(`${server}/${name}`, change),
-    isFed: () =>
-      lead === undefined && isHolderCurrent && clock.monotonicMs() - viewAtMs < FED_FRESH_MS,
-    recordAnswer: (watch, isAnswered) => {
-      const answeredAtMs = isAnswered
-        ? clock.monotonicMs()
-        : (watches.get(watch)?.answeredAtMs ?? -Infinity);
-      watches.set(watch, { answeredAtMs, hasFailed: !isAnswered });
-    },
+    isFed,
+    waitUntilUnfed: () =>
+      isFed() ? new Promise((resolve) => unfedWaiters.push(resolve)) : Promise.resolve(),
+    recordAnswer: (watch) => void answersAtMs.set(watch, clock.monotonicMs()),
     close: () => {
       clearInterval(rounds);
-      clearInterval(rushes);
+      clearTimeout(rushTimer);
+      for (const resume of unfedWaiters.splice(0)) resume();
       lead?.stop();
       link.close();
     },
--- a/src/serving/createFleetPart/types.ts
+++ b/src/serving/createFleetPart/types.ts
@@ -28,8 +28,10 @@
   recordUse: (server: string, name: string, change: 1 | -1) => void;
   /** Whether another host holds the command, hears the store and is heard. */
   isFed: () => boolean;
-  /** Notes whether the store answered a call of one of the watches. */
-  recordAnswer: (watch: StoreWatch, isAnswered: boolean) => void;
+  /** Settles once the store must be watched by this host itself. */
+  waitUntilUnfed: () => Promise<void>;
+  /** Notes that the store answered a call of one of the watches. */
+  recordAnswer: (watch: StoreWatch) => void;
   close: () => void;
 }
 
--- a/src/serving/createOrganisationRates/index.ts
+++ b/src/serving/createOrganisationRates/index.ts
@@ -25,6 +25,8 @@
   /** Whether an organisation has spent so much since `markReported` that the fleet must hear of it. */
   isRushed: (part: number) => boolean;
   markReported: () => void;
+  /** Sets what is called after each admission of an organisation with a rate. */
+  onSpent: (callback: () => void) => void;
   /** Levels of the buckets that this host has followed. */
   getLevels: () => Map<string, number>;
   /** Takes the fleet's buckets as the holder of the command keeps them. */
@@ -69,6 +71,7 @@
   const accounts = new Map<string, Account>();
   const startedAtMs = clock.monotonicMs();
   let fleet: FleetLevels | undefined;
+  let callSpent = (): void => undefined;
   let fleetAtMs = -Infinity;
   let hosts = UNKNOWN_HOSTS;
 
@@ -129,6 +132,7 @@
       }
       account.level -= tokens;
       account.admitted += tokens;
+      callSpent();
       return { isWithin: true };
     },
     refund: (name, tokens) => {
@@ -142,6 +146,9 @@
       [...accounts.values()].some(
         ({ admitted, reported, burst }) => admitted - reported > part * burst,
       ),
+    onSpent: (callback) => {
+      callSpent = callback;
+    },
     markReported: () => {
       for (const account of accounts.values()) account.reported = account.admitted;
     },
--- a/src/serving/followPrefix/index.ts
+++ b/src/serving/followPrefix/index.ts
@@ -5,6 +5,13 @@
 import type { FleetStore, StoreChange, StoreItem } from '../../ports/fleetStore.js';
 import type { Log } from '../../ports/log.js';
 
+/** Somebody else who brings changes, so that the store can be left alone. */
+export interface StoreFeed {
+  isFed: () => boolean;
+  /** Settles once nobody brings them. */
+  waitUntilUnfed: () => Promise<void>;
+}
+
 /** Options of following a prefix of the store. */
 export interface FollowPrefixOptions {
   store: FleetStore;
@@ -18,13 +25,11 @@
   onChanges: (changes: StoreChange[]) => void;
   /** The store was lost, or is back. */
   onReachable: (isReachable: boolean) => void;
-  /** Called after each call with whether the store answered it. */
-  onAnswer?: (isAnswered: boolean) => void;
-  /** While true somebody else brings the changes, and the store is left alone. */
-  isFed?: () => boolean;
+  /** Called with each answer of the store. */
+  onAnswer: () => void;
+  feed: StoreFeed;
 }
 
-const FED_POLL_MS = 100; // half a round of the fleet's figures
 const RETRY_MS = 300; // calls to a store that is away are paid too
 
 async function listAll(
@@ -44,7 +49,7 @@
 
 /** Follows a prefix until the signal aborts: lists it, then watches, and lists anew when history is gone. */
 export async function followPrefix(options: FollowPrefixOptions): Promise<void> {
-  const { store, prefix, log, signal, pauseMs, onItems, onChanges, onReachable } = options;
+  const { store, prefix, log, signal, pauseMs, onItems, onChanges, onReachable, feed } = options;
   let revision: number | undefined;
   let isReachable: boolean | undefined;
   const setReachable = (next: boolean, error?: unknown): void => {
@@ -54,23 +59,37 @@
     else log.warn({ prefix, revision, error: formatError(error) }, 'store lost');
     onReachable(next);
   };
+  let isFed = false;
+  let pausedMs = 0;
+  const setFed = (next: boolean): void => {
+    if (isFed === next) return;
+    isFed = next;
+    log.info(
+      { prefix, revision },
+      next ? 'changes come from the holder of the command' : 'changes are watched in the store',
+    );
+  };
   while (!isAborted(signal)) {
-    if (options.isFed?.() === true) {
+    if (feed.isFed()) {
+      setFed(true);
       revision = undefined;
-      await wait(FED_POLL_MS, undefined, { signal }).catch(() => undefined);
+      await feed.waitUntilUnfed();
       continue;
     }
+    setFed(false);
     try {
       if (revision === undefined) {
         const listed = await listAll(store, prefix);
         revision = listed.revision;
         setReachable(true);
-        options.onAnswer?.(true);
+        options.onAnswer();
         onItems(listed.items);
       }
-      const seen = await store.watch(prefix, revision, WATCH_WAIT_MS, signal);
+      // A pause counts as waiting, so that answers come as often as the holder's feed needs them.
+      const seen = await store.watch(prefix, revision, WATCH_WAIT_MS - pausedMs, signal);
+      pausedMs = 0;
       setReachable(true);
-      options.onAnswer?.(true);
+      options.onAnswer();
       if (seen === undefined) {
         log.warn({ prefix, revision }, 'history of the store is gone, listing anew');
         revision = undefined;
@@ -78,10 +97,11 @@
       }
       if (seen.changes.length > 0) onChanges(seen.changes);
       revision = seen.revision;
-      if (seen.changes.length > 0) await wait(pauseMs, undefined, { signal });
+      if (seen.changes.length === 0) continue;
+      pausedMs = pauseMs;
+      await wait(pauseMs, undefined, { signal });
     } catch (error) {
       if (isAborted(signal)) return;
-      options.onAnswer?.(false);
       setReachable(false, error);
       await wait(RETRY_MS, undefined, { signal }).catch(() => undefined);
     }
--- a/src/serving/followServers/index.ts
+++ b/src/serving/followServers/index.ts
@@ -3,7 +3,7 @@
 import type { FleetStore, StoreChange } from '../../ports/fleetStore.js';
 import type { Log } from '../../ports/log.js';
 import type { BackendServer } from '../../ports/serving.js';
-import { followPrefix } from '../followPrefix/index.js';
+import { followPrefix, type StoreFeed } from '../followPrefix/index.js';
 
 /** Options of following the entries of backend servers. */
 export interface FollowServersOptions {
@@ -15,9 +15,8 @@
   /** Throws when an entry names no server that can be used. */
   decode: (id: string, value: Buffer) => BackendServer;
   onServers: (servers: ReadonlyMap<string, BackendServer>) => void;
-  onAnswer: (isAnswered: boolean) => void;
-  /** While true the holder of the command brings the servers. */
-  isFed: () => boolean;
+  onAnswer: () => void;
+  feed: StoreFeed;
 }
 
 /** The followed servers. */
@@ -104,7 +103,7 @@
       else wasLost = true;
     },
     onAnswer: options.onAnswer,
-    isFed: options.isFed,
+    feed: options.feed,
   });
   return {
     feed: (changed, removed) => {
--- a/src/serving/keepMembership/index.ts
+++ b/src/serving/keepMembership/index.ts
@@ -11,7 +11,7 @@
   type StoreItem,
 } from '../../ports/fleetStore.js';
 import type { Log } from '../../ports/log.js';
-import { followPrefix } from '../followPrefix/index.js';
+import { followPrefix, type StoreFeed } from '../followPrefix/index.js';
 import {
   applyChange,
   COMMAND_KEY,
@@ -46,9 +46,8 @@
   /** Time in which two holders must not take turns. */
   handoverMs: number;
   signal: AbortSignal;
-  /** While true the holder of the command is heard, so that the store need not be watched. */
-  isFed: () => boolean;
-  onAnswer: (isAnswered: boolean) => void;
+  feed: StoreFeed;
+  onAnswer: () => void;
   onHosts: (hosts: FleetHost[]) => void;
   onCommand: (fence: number | undefined) => void;
 }
@@ -73,7 +72,8 @@
   let lastTickMs = clock.monotonicMs();
   let renewing: Promise<boolean> | undefined;
 
-  const ticks = setInterval(() => {
+  /** Notices pauses of this process, which matter while it holds the command. */
+  const tick = (): void => {
     const nowMs = clock.monotonicMs();
     if (nowMs - lastTickMs > TICK_MS * 4) {
       log.warn({ gapMs: Math.round(nowMs - lastTickMs) }, 'this process was paused');
@@ -81,12 +81,15 @@
       if (lease !== undefined) lease.renewedAtMs = -Infinity;
     }
     lastTickMs = nowMs;
-  }, TICK_MS);
-  ticks.unref();
+  };
+  let ticks: NodeJS.Timeout | undefined;
 
   const setFence = (next: number | undefined): void => {
     if (fence === next) return;
     fence = next;
+    clearInterval(ticks);
+    lastTickMs = clock.monotonicMs();
+    if (next !== undefined) ticks = setInterval(tick, TICK_MS).unref();
     log.info(
       { fence, lastHolder: known.lastHolder },
       next === undefined ? 'command lost' : 'command taken',
@@ -240,7 +243,7 @@
     onChanges: applyChanges,
     onReachable: () => undefined,
     onAnswer: options.onAnswer,
-    isFed: options.isFed,
+    feed: options.feed,
   });
 
   return {
