Take the command back at once after a kill, remember which engine read a prompt

Cause: after a kill of the holder, or of all hosts, the lease (2 s) and the handover (3 s) passed before an adapter or a copy was ordered, though the same host came back in half a second; then 3 s more until copies were planned. Change: a process takes the command from the one before it at its own name and address; the store names the host that may have ordered last only once its handover is over, so that a taken-back command still waits where another host may have ordered.

--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -13,12 +13,12 @@
 export function estimateDelay(
   candidate: ServerCandidate,
   request: RoutedRequest,
-  keepsPrompt: boolean,
+  keptTokens: number,
 ): number {
   const { active, slots, heldTokens, memoryTokens, failureShare, slowness } = candidate;
   // Engines take urgent requests first.
   const backlogTokens = request.isUrgent ? candidate.urgentTokens : candidate.backlogTokens;
-  const missing = keepsPrompt ? 0 : request.sharedTokens;
+  const missing = request.sharedTokens - keptTokens;
   const reading = (backlogTokens + missing + request.ownTokens) / PROMPT_TOKENS_PER_MS;
   const batch = FULL_BATCH_MS * Math.min(1, active / slots) * (memoryTokens > 0 ? 1 : 0);
   const queued = (Math.max(0, active - slots + 1) / slots) * candidate.runMs;
@@ -41,7 +41,8 @@
 
 /**
  * Ranks candidates by the delay that a request would meet. Requests that share the start of
- * their prompt prefer one server, as long as what it has kept saves more than its load costs.
+ * their prompt prefer one server, as long as what it has kept saves more than its load costs; past
+ * that they go where parts of it were read lately.
  */
 export function rankServers(
   candidates: readonly ServerCandidate[],
@@ -50,14 +51,17 @@
 ): RankedServer[] {
   const preferred = findPreferred(candidates, request.affinityKey);
   return candidates
-    .map((candidate) => ({
-      candidate,
-      delayMs: estimateDelay(candidate, request, candidate === preferred),
-      unreadTokens: request.ownTokens + (candidate === preferred ? 0 : request.sharedTokens),
-      // Equal servers are taken in a random order, or all hosts would choose the same one.
-      order: random(),
-      load: candidate.active / candidate.slots,
-    }))
+    .map((candidate) => {
+      const keptTokens = candidate === preferred ? request.sharedTokens : candidate.keptTokens;
+      return {
+        candidate,
+        delayMs: estimateDelay(candidate, request, keptTokens),
+        unreadTokens: request.ownTokens + request.sharedTokens - keptTokens,
+        // Equal servers are taken in a random order, or all hosts would choose the same one.
+        order: random(),
+        load: candidate.active / candidate.slots,
+      };
+    })
     .sort(
       (one, other) =>
         one.delayMs - other.delayMs || one.load - other.load || one.order - other.order,
--- a/src/decisions/serving/rankServers/test.ts
+++ b/src/decisions/serving/rankServers/test.ts
@@ -10,6 +10,7 @@
   urgentTokens: 0,
   heldTokens: 0,
   memoryTokens: 232_000,
+  keptTokens: 0,
   holdsAdapter: true,
   isNear: true,
   failureShare: 0,
@@ -19,6 +20,10 @@
 });
 const report: RoutedRequest = {
   affinityKey: 'm/depot-7',
+  sharedParts: [
+    { key: 'm/form', tokens: 2520 },
+    { key: 'm/depot-7', tokens: 3780 },
+  ],
   sharedTokens: 6300,
   ownTokens: 2900,
   isUrgent: false,
@@ -44,7 +49,13 @@
 });
 
 t.test('avoids an engine that fails, is slow, or has no memory left', (t) => {
-  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 800, isUrgent: false };
+  const plain = {
+    affinityKey: '',
+    sharedParts: [],
+    sharedTokens: 0,
+    ownTokens: 800,
+    isUrgent: false,
+  };
   t.equal(rank([engine('a', { failureShare: 0.5 }), engine('b', { active: 20 })], plain)[0], 'b');
   t.equal(rank([engine('a', { slowness: 4 }), engine('b', { active: 20 })], plain)[0], 'b');
   t.equal(rank([engine('a', { heldTokens: 232_000 }), engine('b', { active: 40 })], plain)[0], 'b');
@@ -52,7 +63,13 @@
 });
 
 t.test('takes a plain server with free places before one with a queue', (t) => {
-  const plain = { affinityKey: '', sharedTokens: 0, ownTokens: 0, isUrgent: false };
+  const plain = {
+    affinityKey: '',
+    sharedParts: [],
+    sharedTokens: 0,
+    ownTokens: 0,
+    isUrgent: false,
+  };
   const busy = engine('busy', { slots: 6, active: 9, memoryTokens: 0, runMs: 40 });
   const far = engine('far', { slots: 6, active: 3, memoryTokens: 0, runMs: 40, isNear: false });
   t.equal(rank([busy, far], plain)[0], 'far');
@@ -60,7 +77,13 @@
 });
 
 t.test('prefers an engine that holds the adapter while it is not far behind', (t) => {
-  const chat = { affinityKey: '', sharedTokens: 0, ownTokens: 800, isUrgent: false };
+  const chat = {
+    affinityKey: '',
+    sharedParts: [],
+    sharedTokens: 0,
+    ownTokens: 800,
+    isUrgent: false,
+  };
   const without = engine('without', { holdsAdapter: false });
   t.equal(rank([without, engine('with', { backlogTokens: 500 })], chat)[0], 'with');
   t.equal(rank([without, engine('with', { backlogTokens: 5000 })], chat)[0], 'without');
@@ -68,10 +91,31 @@
 });
 
 t.test('sends an urgent request past a backlog of patient ones', (t) => {
-  const check = { affinityKey: '', sharedTokens: 0, ownTokens: 800, isUrgent: true };
+  const check = {
+    affinityKey: '',
+    sharedParts: [],
+    sharedTokens: 0,
+    ownTokens: 800,
+    isUrgent: true,
+  };
   const patient = engine('patient', { backlogTokens: 90_000 });
   const urgent = engine('urgent', { backlogTokens: 20_000, urgentTokens: 20_000 });
   t.equal(rank([patient, urgent], check)[0], 'patient');
   t.equal(rank([patient, urgent], { ...check, isUrgent: false })[0], 'urgent');
   t.end();
 });
+
+t.test('goes past a full favourite to the engine that read the start of the prompt lately', (t) => {
+  const engines = ['a', 'b', 'c', 'd'].map((id) => engine(id));
+  const first = rank(engines)[0];
+  const full = engines.map((item) =>
+    item.id === first ? { ...item, backlogTokens: 90_000 } : item,
+  );
+  for (const { id } of full.filter((item) => item.id !== first)) {
+    const reader = full.map((item) => (item.id === id ? { ...item, keptTokens: 2520 } : item));
+    t.equal(rank(reader)[0], id);
+    const busy = reader.map((item) => (item.id === id ? { ...item, backlogTokens: 6000 } : item));
+    t.not(rank(busy)[0], id, 'but not past what reading it again would cost');
+  }
+  t.end();
+});
--- a/src/decisions/serving/types.ts
+++ b/src/decisions/serving/types.ts
@@ -13,6 +13,8 @@
   heldTokens: number;
   /** Tokens that fit into its memory; 0 for servers without models. */
   memoryTokens: number;
+  /** Tokens of the request's shared start that it is known to have read lately. */
+  keptTokens: number;
   /** Whether the adapter that the request asks for is there; true when it asks for none. */
   holdsAdapter: boolean;
   /** Whether it is in the data centre of this host. */
@@ -25,11 +27,20 @@
   slowness: number;
 }
 
+/** A part of a prompt that other requests share. */
+export interface SharedPart {
+  /** Names the part for one model and adapter. */
+  key: string;
+  tokens: number;
+}
+
 /** What routing needs to know of a request. */
 export interface RoutedRequest {
   /** Requests with the same key share the start of their prompt; empty when nothing is shared. */
   affinityKey: string;
-  /** Tokens at the start of the prompt that a server may have kept. */
+  /** Parts at the start of the prompt that a server may have kept, by model, adapter and id. */
+  sharedParts: readonly SharedPart[];
+  /** Tokens of these parts together. */
   sharedTokens: number;
   /** Whether engines take it before requests that are not urgent. */
   isUrgent: boolean;
--- a/src/serving/createServerBook/index.ts
+++ b/src/serving/createServerBook/index.ts
@@ -1,7 +1,8 @@
-import type { ServerCandidate } from '../../decisions/serving/types.js';
+import type { ServerCandidate, SharedPart } from '../../decisions/serving/types.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import { createPromptMemory, type PromptMemory } from './_lib/createPromptMemory.js';
 import {
   computeFailureShare,
   createHealth,
@@ -29,6 +30,8 @@
   isUrgent: boolean;
   /** Milliseconds until the first bytes, as estimated. */
   delayMs: number;
+  /** Parts of the prompt that the server has read once the answer begins. */
+  sharedParts: readonly SharedPart[];
 }
 
 /** A request's place on a server; each step is to be told once. */
@@ -73,6 +76,7 @@
   model?: string;
   adapter?: string;
   excluded?: ReadonlySet<string>;
+  sharedParts?: readonly SharedPart[];
 }
 
 const MISSING_MODEL_MS = 1500; // a report of the engine is newer by then
@@ -86,6 +90,7 @@
   /** Adapters that differ from what the leader last said, until they are known anew. */
   corrections: Map<string, { isThere: boolean; untilMs: number }>;
   missingModels: Map<string, number>;
+  prompts: PromptMemory;
 }
 
 const NO_LOAD: ServerLoad = { active: 0, backlogTokens: 0, heldTokens: 0, urgentTokens: 0 };
@@ -111,6 +116,7 @@
     health: createHealth(clock.monotonicMs()),
     corrections: new Map(),
     missingModels: new Map(),
+    prompts: createPromptMemory(),
   });
 
   const holdsModel = (entry: Entry, model: string, nowMs: number): boolean => {
@@ -150,6 +156,7 @@
         request.model === undefined ||
         request.adapter === undefined ||
         holdsAdapter(entry, request.model, request.adapter),
+      keptTokens: entry.prompts.countKept(request.sharedParts ?? [], nowMs),
       isNear: server.dataCentre === dataCentre,
       failureShare: computeFailureShare(entry.health, nowMs),
       runMs: entry.health.runMs,
@@ -225,7 +232,7 @@
     recordMissingModel: (id, model) => {
       entries.get(id)?.missingModels.set(model, clock.monotonicMs() + MISSING_MODEL_MS);
     },
-    takePlace: (id, { backlogTokens, heldTokens, isUrgent, delayMs }) => {
+    takePlace: (id, { backlogTokens, heldTokens, isUrgent, delayMs, sharedParts }) => {
       const entry = entries.get(id);
       const startedAtMs = clock.monotonicMs();
       if (entry === undefined)
@@ -253,6 +260,7 @@
         },
         recordFirstBytes: () => {
           endWait();
+          entry.prompts.record(sharedParts, clock.monotonicMs());
           recordDelay(
             entry.health,
             clock.monotonicMs() - startedAtMs,
--- a/src/serving/keepMembership/_lib/knownFleet.ts
+++ b/src/serving/keepMembership/_lib/knownFleet.ts
@@ -8,7 +8,7 @@
 export const HOSTS_PREFIX = `${FLEET_PREFIX}hosts/`;
 /** Who holds the command, under a lease. */
 export const COMMAND_KEY = `${FLEET_PREFIX}command`;
-/** Who held the command last; outlives the lease. */
+/** Who may have ordered last; outlives the lease. */
 export const LAST_HOLDER_KEY = `${FLEET_PREFIX}last-holder`;
 
 /** Where a host takes connections of its peers. */
@@ -24,7 +24,8 @@
 export interface KnownFleet {
   /** Hosts with the revision of their entry, which rises with each start. */
   hosts: Map<string, FleetHost & { revision: number }>;
-  command?: { holder: string; incarnation: string; revision: number };
+  command?: { holder: string; address: string; incarnation: string; revision: number };
+  /** Host whose orders may have reached engines; the next one waits out the handover. */
   lastHolder: string;
   lastHolderRevision: number;
   /** Whether the fleet's keys were listed at least once. */
@@ -36,7 +37,11 @@
   port: z.number(),
   linkMbps: z.number().default(0),
 });
-const commandValue = z.object({ holder: z.string(), incarnation: z.string() });
+const commandValue = z.object({
+  holder: z.string(),
+  address: z.string(),
+  incarnation: z.string(),
+});
 const lastHolderValue = z.object({ holder: z.string() });
 
 /** Takes one change of the fleet's keys; one that can't be read changes nothing. */
--- a/src/serving/keepMembership/index.ts
+++ b/src/serving/keepMembership/index.ts
@@ -1,6 +1,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { isAborted } from '../../common/isAborted.js';
 import { computeContentionMs } from '../../decisions/command/computeContentionMs/index.js';
+import { mayTakeCommand } from '../../decisions/command/mayTakeCommand/index.js';
 import { isHolderSure, type HeldLease } from '../../decisions/command/isHolderSure/index.js';
 import { formatError } from '../../errors/index.js';
 import type { Clock } from '../../ports/clock.js';
@@ -54,6 +55,7 @@
 
 const WATCH_PAUSE_MS = 200;
 const TICK_MS = 100; // four ticks within the longest gap that is taken for running
+const CONFIRM_RETRY_MS = 300; // calls to a store that is away are paid too
 const RENEWALS_A_TERM = 4; // two lost renewals are survived, and the margin for orders is kept
 
 /** Keeps this host listed, follows the other hosts, and takes the command when nobody holds it. */
@@ -65,9 +67,9 @@
     lastHolderRevision: 0,
     isListed: false,
   };
+  const own = { holder: self.name, address: self.address, incarnation };
   let lease: (HeldLease & { id: number }) | undefined;
   let fence: number | undefined;
-  let mayOrderAtMs = 0;
   let isLeaving = false;
   let lastTickMs = clock.monotonicMs();
   let renewing: Promise<boolean> | undefined;
@@ -155,7 +157,7 @@
   };
 
   /** Takes over a command key that bears this process's name, also when the write was done late. */
-  const adoptCommand = (previousHolder: string): void => {
+  const adoptCommand = (): void => {
     const { command } = known;
     const isOwn = command?.holder === self.name && command.incarnation === incarnation;
     if (!isOwn) {
@@ -163,35 +165,57 @@
       return;
     }
     if (fence === command.revision) return;
-    // The one before may have ordered until its lease ended.
-    const isSameHost = previousHolder === '' || previousHolder === self.name;
-    mayOrderAtMs = clock.monotonicMs() + (isSameHost ? 0 : handoverMs);
     setFence(command.revision);
+    if (mayHaveOrdered(known.lastHolder)) void finishHandover(command.revision);
   };
 
-  const isVacant = (): boolean => !isLeaving && known.isListed && known.command === undefined;
+  /** Tells whether orders of another host may be on their way. */
+  const mayHaveOrdered = (host: string): boolean => host !== '' && host !== self.name;
+
+  /** Waits until the orders of the host before are over, and then names this host as the one that orders. */
+  const finishHandover = async (revision: number): Promise<void> => {
+    await wait(handoverMs, undefined, { signal }).catch(() => undefined);
+    while (fence === revision && mayHaveOrdered(known.lastHolder) && !isAborted(signal)) {
+      try {
+        const { result } = await store.transact({
+          conditions: [{ key: COMMAND_KEY, revision }],
+          writes: [{ key: LAST_HOLDER_KEY, value: JSON.stringify({ holder: self.name }) }],
+        });
+        if (result !== TransactionResult.done) return;
+        known.lastHolder = self.name;
+        log.info({ fence: revision }, 'handover is over, orders may be sent');
+      } catch (error) {
+        log.warn({ fence: revision, error: formatError(error) }, 'handover not recorded');
+        await wait(CONFIRM_RETRY_MS, undefined, { signal }).catch(() => undefined);
+      }
+    }
+  };
+
+  const isFree = (): boolean => !isLeaving && known.isListed && mayTakeCommand(known.command, own);
 
   const computeContention = (): number => {
-    const own = { ...self, revision: known.hosts.get(self.name)?.revision ?? 0 };
-    return computeContentionMs(own, [...known.hosts.values()], random());
+    if (!mayHaveOrdered(known.lastHolder)) return 0;
+    const revision = known.hosts.get(self.name)?.revision ?? 0;
+    return computeContentionMs({ ...self, revision }, [...known.hosts.values()], random());
   };
 
   const takeCommand = async (): Promise<void> => {
-    if (lease === undefined || !isVacant()) return;
+    if (lease === undefined || !isFree()) return;
     await wait(computeContention(), undefined, { signal });
-    if (!isVacant()) return;
+    if (!isFree()) return;
+    const lastHolder = { key: LAST_HOLDER_KEY, value: JSON.stringify({ holder: self.name }) };
     const { result } = await store.transact({
       conditions: [
-        { key: COMMAND_KEY, revision: 0 },
+        { key: COMMAND_KEY, revision: known.command?.revision ?? 0 },
         { key: LAST_HOLDER_KEY, revision: known.lastHolderRevision },
       ],
       writes: [
         {
           key: COMMAND_KEY,
-          value: JSON.stringify({ holder: self.name, incarnation }),
+          value: JSON.stringify(own),
           lease: lease.id,
         },
-        { key: LAST_HOLDER_KEY, value: JSON.stringify({ holder: self.name }) },
+        ...(mayHaveOrdered(known.lastHolder) ? [] : [lastHolder]),
       ],
     });
     if (result === TransactionResult.leaseEnded) loseLease();
@@ -213,16 +237,15 @@
 
   const applyChanges = (changes: readonly StoreChange[]): void => {
     const before = [...known.hosts.keys()].join();
-    const previousHolder = known.lastHolder;
     for (const change of changes) applyChange(known, change, log);
     known.isListed = true;
-    adoptCommand(previousHolder);
+    adoptCommand();
     const hosts = [...known.hosts.values()];
     if (before !== [...known.hosts.keys()].join()) {
       log.info({ hosts: hosts.map(({ name }) => name) }, 'hosts of the fleet changed');
       options.onHosts(hosts);
     }
-    if (known.command === undefined)
+    if (isFree())
       takeCommand().catch((error: unknown) =>
         log.warn({ error: formatError(error) }, 'command not taken'),
       );
@@ -250,7 +273,7 @@
     listHosts: () => [...known.hosts.values()],
     ensureCommand: async () => {
       if (fence === undefined || lease === undefined) return false;
-      if (clock.monotonicMs() < mayOrderAtMs) return false;
+      if (mayHaveOrdered(known.lastHolder)) return false;
       const isSure = (): boolean =>
         fence !== undefined &&
         lease !== undefined &&
--- /dev/null
+++ b/src/serving/keepMembership/test.ts
@@ -0,0 +1,131 @@
+import t from 'tap';
+import {
+  TransactionResult,
+  type FleetStore,
+  type StoreChange,
+  type StoreItem,
+} from '../../ports/fleetStore.js';
+import { keepMembership, type KeepMembershipOptions } from './index.js';
+
+const silent = { info: () => undefined, warn: () => undefined, error: () => undefined };
+const POLL_MS = 2;
+
+/** A store in memory; leases end only when told to. */
+function createStore() {
+  const items = new Map<string, StoreItem>();
+  let changes: StoreChange[] = [];
+  let revision = 1;
+  const put = (key: string, value: string, lease: number): void => {
+    const item = { key, value: Buffer.from(value), revision, lease };
+    items.set(key, item);
+    changes.push(item);
+  };
+  const endLease = (lease: number): Promise<void> => {
+    revision += 1;
+    for (const item of [...items.values()])
+      if (item.lease === lease && items.delete(item.key))
+        changes.push({ key: item.key, revision, lease });
+    return Promise.resolve();
+  };
+  const store: FleetStore = {
+    list: () => Promise.resolve({ items: [...items.values()], hasMore: false, revision }),
+    get: (key) => Promise.resolve(items.get(key)),
+    watch: async (_, after) => {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      return { changes: changes.filter((change) => change.revision > after), revision };
+    },
+    transact: ({ conditions, writes }) => {
+      const isMet = conditions.every((row) => (items.get(row.key)?.revision ?? 0) === row.revision);
+      if (!isMet) return Promise.resolve({ result: TransactionResult.conflict, revision: 0 });
+      revision += 1;
+      for (const { key, value, lease = 0 } of writes) put(key, value, lease);
+      return Promise.resolve({ result: TransactionResult.done, revision });
+    },
+    grantLease: () => Promise.resolve({ lease: (revision += 1), ttlMs: 60_000 }),
+    renewLease: () => Promise.resolve(true),
+    endLease,
+    close: () => Promise.resolve(),
+  };
+  return { store, endLease, read: (key: string) => items.get(key), clear: () => (changes = []) };
+}
+
+type Store = ReturnType<typeof createStore>;
+
+function openMembership(fleet: Store, name: string, change: Partial<KeepMembershipOptions> = {}) {
+  const stop = new AbortController();
+  let fence: number | undefined;
+  const membership = keepMembership({
+    store: fleet.store,
+    clock: { monotonicMs: () => 0, wallMs: () => 0 },
+    log: silent,
+    random: () => 0,
+    self: { name, address: `address-${name}`, port: 1, linkMbps: 100 },
+    incarnation: 'first',
+    ttlMs: 60_000,
+    handoverMs: 5,
+    signal: stop.signal,
+    feed: { isFed: () => false, waitUntilUnfed: () => Promise.resolve() },
+    onAnswer: () => undefined,
+    onHosts: () => undefined,
+    onCommand: (next) => {
+      fence = next;
+    },
+    ...change,
+  });
+  return { membership, getFence: () => fence, stop: () => stop.abort() };
+}
+
+async function waitFor(isTrue: () => boolean | Promise<boolean>): Promise<void> {
+  while (!(await isTrue())) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+}
+
+t.test('orders at once where nobody has ordered before', async (t) => {
+  const fleet = createStore();
+  const one = openMembership(fleet, 'one');
+  t.teardown(one.stop);
+  await waitFor(() => one.getFence() !== undefined);
+  t.ok(await one.membership.ensureCommand());
+});
+
+t.test('takes back the command of its own process before, whose lease still runs', async (t) => {
+  const fleet = createStore();
+  const before = openMembership(fleet, 'one');
+  await waitFor(() => before.getFence() !== undefined);
+  const fence = before.getFence() ?? 0;
+  before.stop();
+  const after = openMembership(fleet, 'one', { incarnation: 'second', handoverMs: 60_000 });
+  t.teardown(after.stop);
+  await waitFor(() => after.getFence() !== undefined);
+  t.ok((after.getFence() ?? 0) > fence, 'under a higher fence');
+  t.ok(await after.membership.ensureCommand(), 'and without a handover');
+});
+
+t.test('waits out the handover after another host, and is then named in the store', async (t) => {
+  const fleet = createStore();
+  const one = openMembership(fleet, 'one');
+  await waitFor(() => one.getFence() !== undefined);
+  one.stop();
+  await fleet.endLease(fleet.read('bronzelanding/command')?.lease ?? 0);
+  const other = openMembership(fleet, 'two');
+  t.teardown(other.stop);
+  await waitFor(() => other.getFence() !== undefined);
+  t.match(fleet.read('bronzelanding/last-holder')?.value.toString(), 'one');
+  t.notOk(await other.membership.ensureCommand());
+  await waitFor(() => other.membership.ensureCommand());
+  t.match(fleet.read('bronzelanding/last-holder')?.value.toString(), 'two');
+});
+
+t.test('still waits when it takes back a command whose handover was not over', async (t) => {
+  const fleet = createStore();
+  const one = openMembership(fleet, 'one');
+  await waitFor(() => one.getFence() !== undefined);
+  one.stop();
+  await fleet.endLease(fleet.read('bronzelanding/command')?.lease ?? 0);
+  const killed = openMembership(fleet, 'two', { handoverMs: 60_000 });
+  await waitFor(() => killed.getFence() !== undefined);
+  killed.stop();
+  const again = openMembership(fleet, 'two', { incarnation: 'second', handoverMs: 60_000 });
+  t.teardown(again.stop);
+  await waitFor(() => again.getFence() !== undefined && again.getFence() !== killed.getFence());
+  t.notOk(await again.membership.ensureCommand());
+});
--- a/src/serving/leadFleet/index.ts
+++ b/src/serving/leadFleet/index.ts
@@ -60,7 +60,7 @@
 const PLAN_MS = 300; // a few plans within the time of one load
 const HOST_FRESH_MS = 1500; // figures of a host that is silent for longer count no more
 const HOST_GONE_MS = 10_000; // a host that nobody hears may serve on until its callers have left it
-const SETTLE_MS = 3000; // all engines have written their entry by then
+const SETTLE_MS = 1500; // engines write their entry every second or so while a system starts
 
 /** Starts leading the fleet under one fence. */
 export function leadFleet(options: LeadFleetOptions): FleetLead {
@@ -72,7 +72,9 @@
   const demand = createDemand(clock.monotonicMs());
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
-  let firstServerAtMs = Infinity;
+  /** When the number of servers last rose. */
+  let grownAtMs = Infinity;
+  let knownServers = 0;
   const listedAtMs = new Map<string, number>();
   const startedAtMs = clock.monotonicMs();
   let isStopped = false;
@@ -121,8 +123,7 @@
   const plan = async (): Promise<void> => {
     demand.decay(clock.monotonicMs());
     if (configuration === undefined || isStopped) return;
-    if (clock.monotonicMs() - firstServerAtMs < SETTLE_MS || !(await options.ensureCommand()))
-      return;
+    if (clock.monotonicMs() - grownAtMs < SETTLE_MS || !(await options.ensureCommand())) return;
     for (const service of configuration.services.values())
       if (service.engines !== undefined) moveCopies(service.name, service.engines);
   };
@@ -157,8 +158,9 @@
       updateRooms();
     },
     setServers: (next) => {
+      if (next.size > knownServers) grownAtMs = clock.monotonicMs();
+      knownServers = next.size;
       servers = next;
-      if (servers.size > 0) firstServerAtMs = Math.min(firstServerAtMs, clock.monotonicMs());
       updateRooms();
     },
     recordReport: (report) => {
--- a/src/serving/serveRequest/_lib/course.ts
+++ b/src/serving/serveRequest/_lib/course.ts
@@ -13,8 +13,10 @@
   const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
   const lastShared = shared[shared.length - 1];
   const model = `${request.model ?? ''}/${request.adapter ?? ''}`;
+  const sharedParts = shared.map(({ id, tokens }) => ({ key: `${model}/${id}`, tokens }));
   return {
     affinityKey: lastShared === undefined ? '' : `${model}/${lastShared.id}`,
+    sharedParts,
     sharedTokens,
     ownTokens: Math.max(0, promptTokens - sharedTokens) + greatestOutput,
     isUrgent: request.route.priority === 0,
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -32,7 +32,14 @@
 function rankCandidates(course: Course): RankedServer[] {
   const { context, request, routed, excluded } = course;
   const { service, model, adapter } = request;
-  const candidates = context.book.listCandidates({ service, model, adapter, excluded });
+  const { sharedParts } = routed;
+  const candidates = context.book.listCandidates({
+    service,
+    model,
+    adapter,
+    excluded,
+    sharedParts,
+  });
   return rankServers(candidates, routed, context.random);
 }
 
@@ -140,6 +147,7 @@
     backlogTokens: choice.unreadTokens,
     heldTokens: routed.ownTokens + SHARED_WEIGHT * routed.sharedTokens,
     isUrgent: routed.isUrgent,
+    sharedParts: routed.sharedParts,
     delayMs: choice.delayMs,
   });
   const uses = listUses(request);
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -86,12 +86,17 @@
   lastEventId: number;
 }
 
-/** An order that an engine carried out, with what it held before. */
-export interface SoakOrder {
+/** An order as it arrived at an engine, accepted or not. */
+export interface SoakArrival {
   engine: string;
   atMs: number;
   holder: string;
   fence: number;
+}
+
+/** An order that an engine carried out, with what it held before. */
+export interface SoakOrder {
+  engine: string;
   action: string;
   model: string;
   adapter?: string;
@@ -102,6 +107,7 @@
 export interface SoakRecord {
   requests: SoakRequest[];
   runs: SoakRun[];
+  arrivals: SoakArrival[];
   orders: SoakOrder[];
   disturbances: Disturbance[];
   /** When each version was put in force. */
