Refill by a host's own part between two views, tell rushes at once, count hosts that only the last holder knew

Now the first is told at once and the next ones a pause later. Test first: eight hosts cut off at once spent above the rate in that second.

--- a/src/serving/createFleetBuckets/index.ts
+++ b/src/serving/createFleetBuckets/index.ts
@@ -30,6 +30,8 @@
   atMs: number;
   /** What each host admitted lately. */
   admitted: Map<string, number>;
+  /** Share that each host was told before it reported here first. */
+  toldShares: Map<string, number>;
   /** Tokens spent since the levels were told. */
   untold: number;
 }
@@ -53,10 +55,18 @@
       : 1 / Math.max(1, bucket.admitted.size);
   };
 
+  /** Share by which a host that is not heard refills: what the others were told leaves the rest. */
+  const computeUnheardShare = (bucket: Bucket, host: string): number => {
+    if (bucket.admitted.has(host)) return computeShare(bucket, host);
+    const strangers = unheard.filter((name) => !bucket.admitted.has(name)).length;
+    const told = [...bucket.toldShares.values()].reduce((sum, share) => sum + share, 0);
+    return Math.max(0, 1 - told) / Math.max(1, strangers);
+  };
+
   const refill = (bucket: Bucket): void => {
     const nowMs = clock.monotonicMs();
     const left = unheard.reduce(
-      (sum, host) => sum - computeOwnPart(hostCount, computeShare(bucket, host)),
+      (sum, host) => sum - computeOwnPart(hostCount, computeUnheardShare(bucket, host)),
       1,
     );
     const added = (Math.max(0, left) * bucket.rate * (nowMs - bucket.atMs)) / 1000;
@@ -76,6 +86,7 @@
             burst,
             atMs: clock.monotonicMs(),
             admitted: new Map(),
+            toldShares: new Map(),
             untold: 0,
           });
           continue;
@@ -96,6 +107,7 @@
       for (const [name, tokens] of Object.entries(report.admitted)) {
         const bucket = buckets.get(name);
         if (bucket === undefined) continue;
+        if (before === undefined) bucket.toldShares.set(report.host, report.shares?.[name] ?? 0);
         // What a host admitted before its first report here is in the levels that were taken over.
         const known = isSame ? (before.admitted[name] ?? 0) : before === undefined ? tokens : 0;
         refill(bucket);
--- a/src/serving/createFleetBuckets/test.ts
+++ b/src/serving/createFleetBuckets/test.ts
@@ -52,3 +52,16 @@
   t.notOk(buckets.isRushed());
   t.end();
 });
+
+t.test('leaves to a host that it never heard what the others were told is not theirs', (t) => {
+  let nowMs = 0;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const buckets = createFleetBuckets({ clock, levels: new Map() });
+  buckets.setOrganisations([depots]);
+  buckets.record({ ...report('a', 0), shares: { depots: 0.2 } });
+  buckets.setUnheard(['b'], 2);
+  nowMs = 1000;
+  // b refills by a quarter for its even part and by two fifths for its share of 0.8.
+  t.equal(Math.round(buckets.describe('a').levels.depots ?? 0), 3500);
+  t.end();
+});
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -31,6 +31,9 @@
   const answersAtMs = new Map<StoreWatch, number>();
   /** Watches of the store that go on once nobody feeds this host. */
   const unfedWaiters: (() => void)[] = [];
+  let listed: readonly string[] = [];
+  /** When each host that is listed no more was listed last. */
+  const listedAtMs = new Map<string, number>();
   const work = createWorkBook();
   const connections = new Map<string, FleetConnection>();
   const wishes = createWishes((message) => link.sendToHolder(message));
@@ -42,6 +45,7 @@
     version: configuration?.version ?? 0,
     loads: encodeLoads(book.getOwnLoads()),
     admitted: Object.fromEntries(rates.getAdmitted()),
+    shares: Object.fromEntries(rates.getShares()),
     demand: work.takeDemand(),
     inUse: work.listUsed(),
     silent: book.listSilent(),
@@ -169,11 +173,12 @@
       shares: new Map(Object.entries(message.shares)),
     });
 
+  let rushedAtMs = -Infinity;
   let rushTimer: NodeJS.Timeout | undefined;
   /** Tells what an organisation in a rush has spent, so that hosts don't spend the same tokens. */
   const tellRush = (): void => {
     rushTimer = undefined;
-    if (lead === undefined && !rates.isRushed(RUSH_PART)) return;
+    rushedAtMs = clock.monotonicMs();
     const admitted = Object.fromEntries(rates.getAdmitted());
     const admissions = { host, incarnation: options.incarnation, admitted };
     rates.markReported();
@@ -182,18 +187,18 @@
       return;
     }
     lead.recordAdmissions(admissions);
-    const own = lead.buildLevels(host);
-    if (own === undefined) return;
-    for (const [name, connection] of connections) {
-      const levels = lead.buildLevels(name);
-      if (levels !== undefined) connection.send(levels);
-    }
-    applyLevels(own);
+    if (!lead.isRushed()) return;
+    for (const [name, connection] of connections) connection.send(lead.buildLevels(name));
+    applyLevels(lead.buildLevels(host));
     lead.markLevelsTold();
   };
-  /** Looks soon whether others must hear of what was spent. */
+  /** Tells what was spent at once, or a pause after it was told last. */
   const planRush = (): void => {
-    rushTimer ??= setTimeout(tellRush, Math.max(RUSH_MS, RUSH_HOST_MS * connections.size));
+    if (rushTimer !== undefined) return;
+    if (!rates.isRushed(RUSH_PART) && lead?.isRushed() !== true) return;
+    const pauseMs = Math.max(RUSH_MS, RUSH_HOST_MS * connections.size);
+    const dueInMs = Math.max(0, rushedAtMs + pauseMs - clock.monotonicMs());
+    rushTimer = setTimeout(tellRush, dueInMs);
   };
   rates.onSpent(planRush);
 
@@ -224,6 +229,9 @@
     listen: link.listen,
     setHosts: (hosts) => {
       link.setHosts(hosts);
+      const nowMs = clock.monotonicMs();
+      for (const name of listed) listedAtMs.set(name, nowMs);
+      listed = hosts.map(({ name }) => name);
       if (!isPlacing()) rates.setHosts(hosts.length);
     },
     setFence: (fence) => {
@@ -236,6 +244,7 @@
           ...options,
           fence,
           levels: rates.getLevels(),
+          listedAtMs,
           ensureCommand: () => options.membership().ensureCommand(),
         });
         if (configuration !== undefined) lead.setConfiguration(configuration);
--- a/src/serving/createOrganisationRates/index.ts
+++ b/src/serving/createOrganisationRates/index.ts
@@ -22,6 +22,8 @@
   refund: (organisation: string, tokens: number) => void;
   /** Tokens that this host has admitted since its start, by organisation. */
   getAdmitted: () => Map<string, number>;
+  /** Parts of the fleet's admissions that this host was last told to be its own. */
+  getShares: () => Map<string, number>;
   /** Whether an organisation has spent so much since `markReported` that the fleet must hear of it. */
   isRushed: (part: number) => boolean;
   markReported: () => void;
@@ -63,8 +65,8 @@
 
 /**
  * Creates the rates of this host. While the holder of the command is heard each host follows one
- * bucket for the fleet; without it a host refills by its own share, half of it even and half as it
- * was used. A new host begins with an empty bucket, as others may have spent the burst.
+ * bucket for the fleet; between its levels, and without it, a host refills by its own share, half of
+ * it even and half as it was used. A new host begins with an empty bucket, as others may have spent the burst.
  */
 export function createOrganisationRates(options: { clock: Clock }): OrganisationRates {
   const { clock } = options;
@@ -77,15 +79,17 @@
 
   const isFleetHeard = (nowMs: number): boolean => nowMs - fleetAtMs <= FLEET_FRESH_MS;
 
-  /** Part of the rate and burst that this host may use by itself. */
-  const computePart = (account: Account, nowMs: number): number =>
+  /** Part of the burst that this host may use by itself. */
+  const computeBurstPart = (account: Account, nowMs: number): number =>
     isFleetHeard(nowMs) ? 1 : computeOwnPart(hosts, account.share);
 
   const refill = (account: Account, nowMs: number): void => {
-    const part = computePart(account, nowMs);
+    // Between two views all hosts refill; a host that is cut off goes on so before it notices.
+    const part = computeOwnPart(hosts, account.share);
     const added = (account.rate * part * (nowMs - account.atMs)) / 1000;
     // Hosts that don't hear each other would each spend what was left when they last did.
-    account.level = Math.min(part * account.burst, account.level + added);
+    const most = computeBurstPart(account, nowMs) * account.burst;
+    account.level = Math.min(most, account.level + added);
     account.atMs = nowMs;
   };
 
@@ -121,7 +125,7 @@
       const nowMs = clock.monotonicMs();
       const account = findAccount(organisation, nowMs);
       // A request above the whole burst waits for a full bucket, not for ever.
-      const needed = Math.min(tokens, computePart(account, nowMs) * account.burst);
+      const needed = Math.min(tokens, computeBurstPart(account, nowMs) * account.burst);
       if (account.level < needed) {
         const { level, rate } = account;
         // Callers that were all told the same moment would find the bucket empty again.
@@ -142,6 +146,7 @@
       account.admitted -= tokens;
     },
     getAdmitted: () => new Map([...accounts].map(([name, { admitted }]) => [name, admitted])),
+    getShares: () => new Map([...accounts].map(([name, { share }]) => [name, share])),
     isRushed: (part) =>
       [...accounts.values()].some(
         ({ admitted, reported, burst }) => admitted - reported > part * burst,
--- a/src/serving/createOrganisationRates/test.ts
+++ b/src/serving/createOrganisationRates/test.ts
@@ -14,6 +14,7 @@
     incarnation: `h${host}/1`,
     version: 1,
     loads: {},
+    shares: {},
     admitted: Object.fromEntries(rates.getAdmitted()),
     demand: {},
     inUse: [],
@@ -61,8 +62,8 @@
     (hostCount, tokens) => {
       const rounds = Array.from({ length: 40 }, () => true);
       const seconds = (rounds.length * ROUND_MS) / 1000;
-      // Each host may spend the refill of a round before it hears of the others.
-      const lag = (hostCount * depots.rate * ROUND_MS) / 1000;
+      // Together hosts may spend the refill of a round before they hear of each other.
+      const lag = (depots.rate * ROUND_MS) / 1000;
       const bound = depots.rate * seconds + depots.burst + lag + hostCount * tokens;
       return runHosts(hostCount, rounds, tokens) <= bound;
     },
@@ -140,3 +141,25 @@
   t.ok(spent <= 2000, `spent ${spent}`);
   t.end();
 });
+
+t.test('hosts that are cut off all at once spend no more than the rate before they notice', (t) => {
+  let nowMs = 0;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const hosts = Array.from({ length: 8 }, () => createOrganisationRates({ clock }));
+  const fleet = {
+    levels: new Map([['depots', 0]]),
+    own: new Map([['depots', 0]]),
+    shares: new Map([['depots', 1 / 8]]),
+  };
+  for (const rates of hosts) {
+    rates.setHosts(8);
+    rates.charge(depots, 1);
+    rates.setFleet(fleet);
+  }
+  let admitted = 0;
+  for (nowMs = 20; nowMs <= 1000; nowMs += 20)
+    for (const rates of hosts) if (rates.charge(depots, 100).isWithin) admitted += 100;
+  t.ok(admitted <= depots.rate, `${admitted} tokens`);
+  t.ok(admitted >= 0.8 * depots.rate);
+  t.end();
+});
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -28,6 +28,8 @@
     loads: z.record(z.string(), load),
     /** Tokens admitted since the host's start by organisation. */
     admitted: totals,
+    /** Part of each organisation's admissions that this host was last told to be its own. */
+    shares: totals,
     /** Work asked since the last report by `SERVICE/MODEL`. */
     demand: totals,
     /** Models and adapters with requests on their way, as `SERVER/MODEL` and `SERVER/MODEL/ADAPTER`. */
@@ -99,7 +101,8 @@
 export type FleetReport = Extract<FleetMessage, { type: 'report' }>;
 export type FleetLevelsMessage = Extract<FleetMessage, { type: 'levels' }>;
 /** What a host has admitted since its start. */
-export type HostAdmissions = Pick<FleetReport, 'host' | 'incarnation' | 'admitted'>;
+export type HostAdmissions = Pick<FleetReport, 'host' | 'incarnation' | 'admitted'> &
+  Partial<Pick<FleetReport, 'shares'>>;
 export type FleetView = Extract<FleetMessage, { type: 'view' }>;
 
 /** Parses a decoded frame; throws when it is no message of the fleet. */
--- a/src/serving/leadFleet/index.ts
+++ b/src/serving/leadFleet/index.ts
@@ -27,6 +27,8 @@
   ensureCommand: () => Promise<boolean>;
   /** Levels of the organisations' buckets as this host followed them before. */
   levels: ReadonlyMap<string, number>;
+  /** Hosts that were listed lately, with when that was; some may serve on though nobody hears them. */
+  listedAtMs: ReadonlyMap<string, number>;
 }
 
 /** The work of the host that holds the command: figures of all hosts, adapters and copies. */
@@ -35,8 +37,9 @@
   setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
   recordReport: (report: FleetReport) => void;
   recordAdmissions: (admissions: HostAdmissions) => void;
-  /** Levels that a host must hear of between two views; undefined when nothing presses. */
-  buildLevels: (host: string) => FleetLevelsMessage | undefined;
+  /** Whether hosts must hear of the levels before the next view. */
+  isRushed: () => boolean;
+  buildLevels: (host: string) => FleetLevelsMessage;
   markLevelsTold: () => void;
   /** Takes which hosts are listed in the fleet now. */
   setListed: (hosts: readonly string[]) => void;
@@ -75,7 +78,7 @@
   /** When the number of servers last rose. */
   let grownAtMs = Infinity;
   let knownServers = 0;
-  const listedAtMs = new Map<string, number>();
+  const listedAtMs = new Map(options.listedAtMs);
   const startedAtMs = clock.monotonicMs();
   let isStopped = false;
 
@@ -186,8 +189,8 @@
       buckets.setUnheard(unheard, Math.max(1, listed.length));
     },
     recordAdmissions: buckets.record,
-    buildLevels: (host) =>
-      buckets.isRushed() ? { type: 'levels', ...buckets.describe(host) } : undefined,
+    isRushed: buckets.isRushed,
+    buildLevels: (host) => ({ type: 'levels', ...buckets.describe(host) }),
     markLevelsTold: buckets.markTold,
     dropHost: (host) => {
       hosts.get(host)?.told.clear();
--- a/tests/soak/applyFault.ts
+++ b/tests/soak/applyFault.ts
@@ -50,12 +50,19 @@
   proxy.setMood(ProxyMood.pass);
 }
 
-async function startEngineAgain(fleet: SoakFleet, { engine, describe }: SoakEngine): Promise<void> {
+async function startEngineAgain(
+  fleet: SoakFleet,
+  record: SoakRecord,
+  { engine, describe }: SoakEngine,
+): Promise<void> {
   engine.restart();
   if (engine.id === 'engine-0') engine.models.set('oak', new Set());
   if (engine.id === 'engine-1') engine.models.set('pine', new Set());
   await wait(RESTART_MS);
-  fleet.store.put(`servers/${engine.id}`, describe());
+  const isLeaving = record.departures.some(
+    ({ engine: id, toMs }) => id === engine.id && toMs === Infinity,
+  );
+  fleet.store.put(`servers/${engine.id}`, describe(isLeaving ? { state: 'draining' } : {}));
 }
 
 async function leaveEngine(
@@ -140,7 +147,7 @@
       fleet.store.compact();
       return;
     case FaultKind.engineRestart:
-      return startEngineAgain(fleet, target);
+      return startEngineAgain(fleet, record, target);
     case FaultKind.engineLeave:
       return leaveEngine(fleet, record, target, forMs);
     case FaultKind.engineFate:
