Order nothing while an engine carries out an order of the holder before

Test first: 'orders no copy on a report of a load that may be done meanwhile' counted one overfull order. A busy engine's count is now taken as unknown.

--- a/src/serving/createEngineRoom/index.ts
+++ b/src/serving/createEngineRoom/index.ts
@@ -60,7 +60,8 @@
 
   const takeReport = (report: ModelReport): void => {
     adopt(report.models);
-    orderCount = report.orderCount;
+    // What a busy engine holds may change at any moment, without another order.
+    orderCount = report.isBusy ? undefined : report.orderCount;
     doubtful = report.loading.length;
     missing.clear();
   };
@@ -107,7 +108,7 @@
     if (orderCount !== undefined) orderCount += 1;
   };
 
-  /** Finds out where the engine stands after an order without an answer, or a conflict. */
+  /** Finds out where the engine stands after an order without an answer, or a conflict; false when that is not known. */
   const lookAgain = async (afterMs = LOOK_AGAIN_MS): Promise<boolean> => {
     isInDoubt = true;
     await waitMilliseconds(afterMs);
@@ -126,13 +127,13 @@
       { server: server.id, orderCount, isBusy: report.isBusy, models: [...models.keys()] },
       'engine looked at again',
     );
-    return true;
+    return orderCount !== undefined;
   };
 
   /** Makes sure that orders may be sent and that the engine's state is known, before anything is decided. */
   const prepare = async (): Promise<boolean> => {
     if (isClosed || !(await ensureCommand())) return false;
-    return orderCount !== undefined || ((await lookAgain(0)) && !isInDoubt);
+    return orderCount !== undefined || (await lookAgain(0));
   };
 
   const unloadVictim = async (): Promise<boolean> => {
--- a/src/serving/createEngineRoom/test.ts
+++ b/src/serving/createEngineRoom/test.ts
@@ -242,6 +242,17 @@
   t.same(engine.describe(), [{ name: 'm0', adapters: ['a2'] }]);
 });
 
+t.test('orders no copy on a report of a load that may be done meanwhile', async (t) => {
+  const engine = createEngine(1, {});
+  const before = { action: 'load', model: 'm2', expectedCount: 0, holder: 'h0', fence: 6 } as const;
+  await engine.orders.send(server, before);
+  // The load is done, and the report still says that the engine is at it.
+  engine.advance(LOAD_MS + REPORT_LAG_MS / 3);
+  const room = openRoom(engine);
+  t.equal(await room.moveCopy('m3', []), false);
+  t.equal(engine.countOverfull(), 0);
+});
+
 t.test('orders nothing once it is closed', async (t) => {
   const engine = createEngine(1, {});
   const room = openRoom(engine);
--- a/tests/soak/startSoakFleet.ts
+++ b/tests/soak/startSoakFleet.ts
@@ -1,4 +1,4 @@
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { request as sendRequest } from 'undici';
 import { startPlatformEngine, type PlatformEngine } from '../support/platformEngine.js';
 import { startPlatformStore, type PlatformStore } from '../support/platformStore.js';
@@ -40,19 +40,28 @@
 }
 
 const FAR_SIDE = new URL('../../../tests/soak/clockShift.mjs', import.meta.url).pathname;
+const FIRST_PORT = 20_000;
+const LAST_PORT = 32_000; // the system hands out ports from 32,768 on
+const PORTS_A_RUN = 64;
 const HEAP_MB = 160; // as the deploy file has it
 
+let nextPort = FIRST_PORT + ((process.pid * PORTS_A_RUN) % (LAST_PORT - FIRST_PORT));
+
+function isPortFree(port: number): Promise<boolean> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+/** Finds ports below those that the system hands out, which a restarted host could find taken. */
 async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) =>
-          server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port)),
-        ),
-    ),
-  );
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  const ports: number[] = [];
+  while (ports.length < count) {
+    nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
+    if (await isPortFree(nextPort)) ports.push(nextPort);
+  }
   return ports;
 }
 
