Let a weak host wait for the first command too

Cause: a host that need not wait out a handover took a vacant command at once, so that at the very first start any of 83 hosts could hold it, also one with 7 Mbit/s. Now only the host that ordered last skips its turn. Test first: 'leaves the first command to a host with a better link'.

--- a/src/serving/keepMembership/index.ts
+++ b/src/serving/keepMembership/index.ts
@@ -194,7 +194,8 @@
   const isFree = (): boolean => !isLeaving && known.isListed && mayTakeCommand(known.command, own);
 
   const computeContention = (): number => {
-    if (!mayHaveOrdered(known.lastHolder)) return 0;
+    // Nobody has to wait out a handover after this host.
+    if (known.lastHolder === self.name) return 0;
     const revision = known.hosts.get(self.name)?.revision ?? 0;
     return computeContentionMs({ ...self, revision }, [...known.hosts.values()], random());
   };
--- a/src/serving/keepMembership/test.ts
+++ b/src/serving/keepMembership/test.ts
@@ -129,3 +129,16 @@
   await waitFor(() => again.getFence() !== undefined && again.getFence() !== killed.getFence());
   t.notOk(await again.membership.ensureCommand());
 });
+
+t.test('leaves the first command to a host with a better link', async (t) => {
+  const fleet = createStore();
+  const weakSelf = { name: 'weak', address: 'address-weak', port: 1, linkMbps: 7 };
+  const weak = openMembership(fleet, 'weak', { self: weakSelf });
+  await waitFor(() => fleet.read('bronzelanding/hosts/weak') !== undefined);
+  const strong = openMembership(fleet, 'strong');
+  t.teardown(weak.stop);
+  t.teardown(strong.stop);
+  await waitFor(() => fleet.read('bronzelanding/command') !== undefined);
+  await waitFor(() => weak.getFence() !== undefined || strong.getFence() !== undefined);
+  t.equal(weak.getFence(), undefined);
+});
