Call one openServer, drop state that could be derived and members that nobody calls

Listening stood four times: one openServer. An engine room knows its server's incarnation, so the map beside it goes (it also kept ids of servers that were gone). chooseVictim returns what it was given, UNKNOWN_HOSTS stands once, waits use the timers that the other files use, the pause bound is isHolderSure's. FleetStore.get had no caller.

--- a/src/adapters/peer/index.ts
+++ b/src/adapters/peer/index.ts
@@ -1,6 +1,6 @@
-import type { AddressInfo } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import { isAborted } from '../../common/isAborted.js';
+import { openServer } from '../../common/openServer.js';
 import type { ListedHost } from '../../ports/hostList.js';
 import type { Log } from '../../ports/log.js';
 import type {
@@ -108,10 +108,7 @@
     accepted.add(connection);
     void connection.ended.then(() => accepted.delete(connection));
   });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(options.port, address, resolve);
-  });
+  const port = await openServer(server, address, options.port);
 
   const runPeer = async (listed: ListedHost, task: PeerTask): Promise<void> => {
     const { signal } = task.stop;
@@ -164,7 +161,7 @@
   };
 
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     countBytesSent: () => bytesSent,
     listConnected: () =>
       [...tasks].filter(([, { connection }]) => connection !== undefined).map(([id]) => id),
--- a/src/decisions/copies/chooseVictim/index.ts
+++ b/src/decisions/copies/chooseVictim/index.ts
@@ -10,8 +10,11 @@
 const LEAST_STAY_MS = 250; // the requests for which it was loaded are on their way until then
 
 /** Chooses the adapter that makes room: the one that nobody uses and that was asked for longest ago. */
-export function chooseVictim(held: readonly HeldAdapter[], nowMs: number): HeldAdapter | undefined {
-  let victim: HeldAdapter | undefined;
+export function chooseVictim<Held extends HeldAdapter>(
+  held: readonly Held[],
+  nowMs: number,
+): Held | undefined {
+  let victim: Held | undefined;
   for (const adapter of held) {
     if (adapter.isInUse || nowMs - adapter.wantedAtMs < LEAST_STAY_MS) continue;
     if (victim === undefined || adapter.wantedAtMs < victim.wantedAtMs) victim = adapter;
--- a/src/decisions/serving/computeOwnPart/index.ts
+++ b/src/decisions/serving/computeOwnPart/index.ts
@@ -1,3 +1,6 @@
+/** Hosts among which a host shares before it has heard of the others. */
+export const UNKNOWN_HOSTS = 8; // the fleet's size is not known in the first moments of a host
+
 const EVEN_PART = 0.5; // callers of a lost host come to others, so that half is shared evenly
 
 /**
--- a/src/ports/fleetStore.ts
+++ b/src/ports/fleetStore.ts
@@ -48,7 +48,6 @@
  */
 export interface FleetStore {
   list: (prefix: string, after?: string) => Promise<StorePage>;
-  get: (key: string) => Promise<StoreItem | undefined>;
   /** Waits for changes after a revision; undefined when that history is gone. */
   watch: (
     prefix: string,
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -178,7 +178,6 @@
         if (key === options.configuration.key && value !== undefined)
           takeConfiguration(value, 'store');
     },
-    onReachable: () => undefined,
     onAnswer: () => part.recordAnswer(StoreWatch.configuration),
     feed: part,
   });
--- a/src/serving/createEngineRoom/index.ts
+++ b/src/serving/createEngineRoom/index.ts
@@ -143,8 +143,7 @@
         return { name, model, adapter, wantedAtMs, isInUse: isInUse(server.id, name) };
       }),
     );
-    const victim = chooseVictim(held, clock.monotonicMs());
-    const chosen = held.find(({ name }) => name === victim?.name);
+    const chosen = chooseVictim(held, clock.monotonicMs());
     if (chosen === undefined) return false;
     // From here on it counts as gone: nobody may be sent to it.
     models.get(chosen.model)?.delete(chosen.adapter);
--- a/src/serving/createFleetLink/index.ts
+++ b/src/serving/createFleetLink/index.ts
@@ -1,7 +1,8 @@
-import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { connect, createServer, type Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import { createConnection, type PeerConnection } from '../../adapters/peer/createConnection.js';
 import { isAborted } from '../../common/isAborted.js';
+import { openServer } from '../../common/openServer.js';
 import { formatError } from '../../errors/index.js';
 import type { Log } from '../../ports/log.js';
 import { parseFleetMessage, type FleetMessage } from '../fleetMessages.js';
@@ -151,11 +152,7 @@
   };
 
   return {
-    listen: (address, port) =>
-      new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(port, address, () => resolve((server.address() as AddressInfo).port));
-      }),
+    listen: (address, port) => openServer(server, address, port),
     lead: (fence) => {
       if (fence === leading) return;
       stopTasks();
--- a/src/serving/createFleetPart/index.ts
+++ b/src/serving/createFleetPart/index.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { isFeedCurrent } from '../../decisions/command/isFeedCurrent/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 import { RUSH_PART } from '../createFleetBuckets/index.js';
@@ -222,7 +223,7 @@
         const untilMs = clock.monotonicMs() + waitMs;
         while (clock.monotonicMs() < untilMs) {
           if (book.listCandidates({ service, model }).length > 0) return;
-          await new Promise((resolve) => setTimeout(resolve, MODEL_POLL_MS));
+          await wait(MODEL_POLL_MS);
         }
       },
     },
--- a/src/serving/createOrganisationRates/index.ts
+++ b/src/serving/createOrganisationRates/index.ts
@@ -1,4 +1,4 @@
-import { computeOwnPart } from '../../decisions/serving/computeOwnPart/index.js';
+import { computeOwnPart, UNKNOWN_HOSTS } from '../../decisions/serving/computeOwnPart/index.js';
 import type { Clock } from '../../ports/clock.js';
 import type { ServingOrganisation } from '../../ports/serving.js';
 
@@ -61,7 +61,6 @@
 }
 
 const FLEET_FRESH_MS = 1000; // a few rounds of the leader
-const UNKNOWN_HOSTS = 8; // the fleet's size is not known in the first moments of a host
 
 /**
  * Creates the rates of this host. While the holder of the command is heard each host follows one
--- a/src/serving/createRepeatBudget/index.ts
+++ b/src/serving/createRepeatBudget/index.ts
@@ -1,3 +1,4 @@
+import { UNKNOWN_HOSTS } from '../../decisions/serving/computeOwnPart/index.js';
 import type { Clock } from '../../ports/clock.js';
 
 /** Limits what servers are sent beyond the first attempt of each request. */
@@ -25,7 +26,6 @@
   repeatsAtMs: number[];
 }
 
-const UNKNOWN_HOSTS = 8; // the fleet's size is not known in the first moments of a host
 const SAFE_PART = 0.8; // hosts learn of each other at different moments
 
 function dropBefore(times: number[], atMs: number): void {
--- a/src/serving/followPrefix/index.ts
+++ b/src/serving/followPrefix/index.ts
@@ -24,7 +24,7 @@
   onItems: (items: StoreItem[]) => void;
   onChanges: (changes: StoreChange[]) => void;
   /** The store was lost, or is back. */
-  onReachable: (isReachable: boolean) => void;
+  onReachable?: (isReachable: boolean) => void;
   /** Called with each answer of the store. */
   onAnswer: () => void;
   feed: StoreFeed;
@@ -57,7 +57,7 @@
     isReachable = next;
     if (next) log.info({ prefix, revision }, 'store reached');
     else log.warn({ prefix, revision, error: formatError(error) }, 'store lost');
-    onReachable(next);
+    onReachable?.(next);
   };
   let isFed = false;
   let pausedMs = 0;
--- a/src/serving/keepMembership/index.ts
+++ b/src/serving/keepMembership/index.ts
@@ -2,7 +2,11 @@
 import { isAborted } from '../../common/isAborted.js';
 import { computeContentionMs } from '../../decisions/command/computeContentionMs/index.js';
 import { mayTakeCommand } from '../../decisions/command/mayTakeCommand/index.js';
-import { isHolderSure, type HeldLease } from '../../decisions/command/isHolderSure/index.js';
+import {
+  isHolderSure,
+  LONGEST_GAP_MS,
+  type HeldLease,
+} from '../../decisions/command/isHolderSure/index.js';
 import { formatError } from '../../errors/index.js';
 import type { Clock } from '../../ports/clock.js';
 import {
@@ -68,7 +72,7 @@
     isListed: false,
   };
   const own = { holder: self.name, address: self.address, incarnation };
-  let lease: (HeldLease & { id: number }) | undefined;
+  let lease: (Omit<HeldLease, 'lastTickMs'> & { id: number }) | undefined;
   let fence: number | undefined;
   let isLeaving = false;
   let lastTickMs = clock.monotonicMs();
@@ -77,7 +81,7 @@
   /** Notices pauses of this process, which matter while it holds the command. */
   const tick = (): void => {
     const nowMs = clock.monotonicMs();
-    if (nowMs - lastTickMs > TICK_MS * 4) {
+    if (nowMs - lastTickMs > LONGEST_GAP_MS) {
       log.warn({ gapMs: Math.round(nowMs - lastTickMs) }, 'this process was paused');
       // What was true of the lease before the pause is known no more.
       if (lease !== undefined) lease.renewedAtMs = -Infinity;
@@ -121,7 +125,7 @@
       },
     ];
     await store.transact({ conditions: [], writes });
-    lease = { id: granted.lease, ttlMs: granted.ttlMs, renewedAtMs, renewedAtWallMs, lastTickMs };
+    lease = { id: granted.lease, ttlMs: granted.ttlMs, renewedAtMs, renewedAtWallMs };
     log.info({ lease: granted.lease, ttlMs: granted.ttlMs }, 'listed in the fleet');
   };
 
@@ -265,7 +269,6 @@
       applyChanges(items);
     },
     onChanges: applyChanges,
-    onReachable: () => undefined,
     onAnswer: options.onAnswer,
     feed: options.feed,
   });
@@ -283,7 +286,6 @@
       return (await renewOnce()) && isSure();
     },
     leave: async () => {
-      clearInterval(ticks);
       isLeaving = true;
       if (lease === undefined) return;
       const { id } = lease;
--- a/src/serving/keepMembership/test.ts
+++ b/src/serving/keepMembership/test.ts
@@ -13,7 +13,7 @@
 /** A store in memory; leases end only when told to. */
 function createStore() {
   const items = new Map<string, StoreItem>();
-  let changes: StoreChange[] = [];
+  const changes: StoreChange[] = [];
   let revision = 1;
   const put = (key: string, value: string, lease: number): void => {
     const item = { key, value: Buffer.from(value), revision, lease };
@@ -29,7 +29,6 @@
   };
   const store: FleetStore = {
     list: () => Promise.resolve({ items: [...items.values()], hasMore: false, revision }),
-    get: (key) => Promise.resolve(items.get(key)),
     watch: async (_, after) => {
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
       return { changes: changes.filter((change) => change.revision > after), revision };
@@ -46,7 +45,7 @@
     endLease,
     close: () => Promise.resolve(),
   };
-  return { store, endLease, read: (key: string) => items.get(key), clear: () => (changes = []) };
+  return { store, endLease, read: (key: string) => items.get(key) };
 }
 
 type Store = ReturnType<typeof createStore>;
--- a/src/serving/leadFleet/index.ts
+++ b/src/serving/leadFleet/index.ts
@@ -69,7 +69,6 @@
 export function leadFleet(options: LeadFleetOptions): FleetLead {
   const { clock, log, fence } = options;
   const rooms = new Map<string, EngineRoom>();
-  const incarnations = new Map<string, string>();
   const hosts = new Map<string, HostState>();
   const buckets = createFleetBuckets({ clock, levels: options.levels });
   const demand = createDemand(clock.monotonicMs());
@@ -77,6 +76,7 @@
   let servers: ReadonlyMap<string, BackendServer> = new Map();
   /** When the number of servers last rose. */
   let grownAtMs = Infinity;
+  /** Kept apart from `servers`, which its owner changes in place. */
   let knownServers = 0;
   const listedAtMs = new Map(options.listedAtMs);
   const startedAtMs = clock.monotonicMs();
@@ -103,13 +103,12 @@
       const pool = findPool(server.service);
       if (pool === undefined) continue;
       const room = rooms.get(id);
-      if (room !== undefined && incarnations.get(id) === server.incarnation) {
+      if (room?.getServer().incarnation === server.incarnation) {
         room.setPool(pool);
         room.setServer(server);
         continue;
       }
       room?.close();
-      incarnations.set(id, server.incarnation);
       rooms.set(id, createEngineRoom({ ...options, holder: options.host, isInUse, server, pool }));
     }
   };
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from 'node:timers/promises';
 import { computePatience } from '../../decisions/serving/computePatience/index.js';
 import { mayTryAgain } from '../../decisions/serving/mayTryAgain/index.js';
 import { rankServers } from '../../decisions/serving/rankServers/index.js';
@@ -58,10 +59,6 @@
   return rankCandidates(course);
 }
 
-async function waitMilliseconds(milliseconds: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
-
 /** A server with what the request would meet there. */
 interface Choice {
   server: BackendServer;
@@ -92,7 +89,7 @@
     missing: [...course.missing],
   });
   if (grant !== undefined) {
-    if (grant.readyInMs > 0) await waitMilliseconds(grant.readyInMs);
+    if (grant.readyInMs > 0) await wait(grant.readyInMs);
     context.book.recordAdapter(grant.server, model, adapter, true);
     return toChoice(
       course,
--- a/tests/soak/applyFault.ts
+++ b/tests/soak/applyFault.ts
@@ -1,6 +1,5 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import type { EngineFate } from '../support/platformEngine.js';
-import { EngineFate as Fate } from '../support/platformEngine.js';
+import { EngineFate } from '../support/platformEngine.js';
 import { StoreMood } from '../support/platformStore.js';
 import { buildSoakConfiguration } from './buildSoakConfiguration.js';
 import { ProxyMood, type Proxy } from './startProxy.js';
@@ -40,8 +39,7 @@
   if (end === undefined) process.kill('SIGKILL');
   await process.exited;
   planned.toMs = performance.now();
-  await wait(RESTART_MS);
-  host.start();
+  await startAgain(host);
 }
 
 async function applyMood(proxy: Proxy, how: string, forMs: number): Promise<void> {
@@ -85,10 +83,10 @@
   let seen = 0;
   engine.setFate(() => {
     seen += 1;
-    return seen % FATE_SHARE === 0 ? fate : Fate.serve;
+    return seen % FATE_SHARE === 0 ? fate : EngineFate.serve;
   });
   await wait(forMs);
-  engine.setFate(() => Fate.serve);
+  engine.setFate(() => EngineFate.serve);
 }
 
 /** Puts the next version in force. */
