--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -23,6 +23,13 @@
   };
 }
 
+const MAX_PART_ID_LENGTH = 64; // callers choose the ids, and hosts pass them on to each other
+
+/** Lists the ids of the prompt parts that a request may share with others: all but the last one. */
+export function listSharedPartIds({ parts }: ServingRequest): string[] {
+  return parts.slice(0, -1).map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
+}
+
 /** State of a request while it is served. */
 export interface RequestState {
   context: ServingContext;
@@ -75,6 +82,8 @@
       attemptsRun: state.attemptsRun,
       elapsedMs: Math.round(elapsedMs),
       target: status >= 500 ? request.target : undefined,
+      // Tells which prompts servers were working on when they failed.
+      sharedParts: state.attemptsRun > 0 ? listSharedPartIds(request).join() : undefined,
       version: context.getConfigurationVersion(),
       ...logFields,
     },
