Quarantine prompt parts that crash engines

Cause: what fails on a server was evidence against the server only, never against the prompt, and stayed on the host that saw it. Each such request was new, so neither retries nor the health of servers could stop the next one. Class of fault: a failure that travels with the input is charged to whatever handled it.

Now each host reports to the leader which shared parts were in requests that a server had not begun to answer when it broke its connections, and when requests with these parts were last served. findCrashingParts blames a part that was never served and was in the crashes of two servers, or that was not served again after crashes at three separate moments; each crash is explained once, so parts common among all requests are not blamed. Parts that always came together are quarantined together, so that a request with one of them goes on and shows which it is. One request of the whole fleet is then sent as a trial; if it crashes a server too, the part stays in quarantine (next trial after ten minutes), if it or any other is served, the part is cleared. Requests with a quarantined part get 503 at once, as not run. The groups are in the store, so they outlive the leader and all processes; without a leader hosts use the last groups, the stored ones and what they saw themselves.

Ruled out: our own retries (each request ran on one engine), refusing by organisation or first part (sound requests share both), counting without regard to what was served (parts of popular requests are in every crash).

--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -210,8 +210,11 @@
   /** Returns false to pause reading until `Attempt.resume` is called. */
   onData: (chunk: Buffer) => boolean;
   onEnd: () => void;
-  /** Called at most once, and not after `onEnd`. */
-  onFailure: (failure: AttemptFailure, reason: string) => void;
+  /**
+   * Called at most once, and not after `onEnd`. `isDisconnected` tells that the server ended the
+   * connection before a complete response.
+   */
+  onFailure: (failure: AttemptFailure, reason: string, isDisconnected: boolean) => void;
 }
 
 /** Handle to abort an attempt in flight, or to resume reading after `onData` returned false. */
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -166,6 +166,7 @@
     rateLimiter,
     retryBudget,
     placement: fleetMember.placement,
+    quarantine: fleetMember.quarantine,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     maximumResponseBytes: settings.maximumResponseBytes,
@@ -198,6 +199,7 @@
     feed: fleetMember.feeds.leadership,
     outage,
     onHosts: fleetMember.setHosts,
+    onPartGroups: fleetMember.setSavedPartGroups,
     onLeadershipChange: fleetMember.setLeadership,
   });
   void watchPrefix({
--- a/src/serving/createFleetMember/_lib/createAdapterRequests.ts
+++ b/src/serving/createFleetMember/_lib/createAdapterRequests.ts
@@ -1,5 +1,6 @@
 import type { FleetMessage } from '../../fleetMessages.js';
 import type { AdapterGrant, AdapterRequest } from '../../types.js';
+import { createPendingReplies } from './createPendingReplies.js';
 
 /** Adapter requests to the leader that are not answered yet. */
 export interface AdapterRequests {
@@ -13,36 +14,21 @@
 
 /** Creates the adapter requests of a host; concurrent ones for the same adapter are merged. */
 export function createAdapterRequests(send: (message: FleetMessage) => boolean): AdapterRequests {
-  const resolvers = new Map<number, (grant: AdapterGrant | undefined) => void>();
+  const replies = createPendingReplies<AdapterGrant>(GRANT_TIMEOUT_MS);
   const pending = new Map<string, Promise<AdapterGrant | undefined>>();
-  let nextId = 0;
-
-  const sendRequest = (request: AdapterRequest): Promise<AdapterGrant | undefined> =>
-    new Promise((resolve) => {
-      nextId += 1;
-      const id = nextId;
-      const finish = (grant: AdapterGrant | undefined): void => {
-        clearTimeout(timer);
-        resolvers.delete(id);
-        resolve(grant);
-      };
-      const timer = setTimeout(() => finish(undefined), GRANT_TIMEOUT_MS);
-      resolvers.set(id, finish);
-      const { model, adapter, servers, missing } = request;
-      const message = { id, model, adapter, servers: [...servers], missing: [...missing] };
-      if (!send({ type: 'wish', ...message })) finish(undefined);
-    });
-
   return {
-    request: (request) => {
-      const key = `${request.model}/${request.adapter}`;
+    request: ({ model, adapter, servers, missing }) => {
+      const key = `${model}/${adapter}`;
       const existing = pending.get(key);
       if (existing !== undefined) return existing;
-      const grant = sendRequest(request).finally(() => pending.delete(key));
+      const message = { model, adapter, servers: [...servers], missing: [...missing] };
+      const grant = replies
+        .request((id) => send({ type: 'wish', id, ...message }))
+        .finally(() => pending.delete(key));
       pending.set(key, grant);
       return grant;
     },
     settle: ({ id, server, readyInMs }) =>
-      resolvers.get(id)?.(server === undefined ? undefined : { server, readyInMs }),
+      replies.settle(id, server === undefined ? undefined : { server, readyInMs }),
   };
 }
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -14,6 +14,7 @@
 import { createLeaderFeeds } from './_lib/createLeaderFeeds.js';
 import { createAdmissionUpdates } from './_lib/createAdmissionUpdates.js';
 import { createAdapterRequests } from './_lib/createAdapterRequests.js';
+import { createMemberQuarantine } from './_lib/createMemberQuarantine.js';
 import { createUsageTracker, encodeLoads } from './_lib/createUsageTracker.js';
 
 const ROUND_INTERVAL_MS = 200; // older loads make hosts misroute a burst; see docs/platform.md
@@ -46,6 +47,13 @@
   const connections = new Map<string, FleetConnection>();
   const adapterRequests = createAdapterRequests((message) => transport.sendToLeader(message));
 
+  const quarantine = createMemberQuarantine({
+    clock,
+    isLed: () => isPlacementAvailable(),
+    getLeader: () => leader,
+    sendToLeader: (message) => transport.sendToLeader(message),
+  });
+
   const buildReport = (): FleetReport => ({
     type: 'report',
     host,
@@ -58,6 +66,7 @@
     inUse: usage.listInUse(),
     silent: serverRegistry.listSilent(),
     unreachable: serverRegistry.listUnreachable(),
+    ...quarantine.evidence.takeReport(),
   });
 
   const applyView = (view: FleetView): void => {
@@ -69,6 +78,7 @@
     );
     serverRegistry.setUnloadingModels(new Set(view.leavingModels));
     serverRegistry.setSuspects(new Set(view.suspects));
+    if (view.quarantine !== undefined) quarantine.evidence.setQuarantine(view.quarantine, 'leader');
     modelReadyAtMs = new Map(
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
     );
@@ -107,6 +117,9 @@
     } else if (message.type === 'admissions') {
       leader?.recordAdmissions(message);
       admissionUpdates.schedule();
+    } else if (message.type === 'trial') {
+      const isGranted = leader?.tryTrial(message.parts) ?? false;
+      connection.send({ type: 'trialReply', id: message.id, isGranted });
     } else if (message.type === 'wish') void handleAdapterRequest(message, connection);
     else if (message.type === 'configurationRequest') configurations.sendTo(connection);
     else if (message.type === 'configuration') handleConfiguration(message.value);
@@ -118,6 +131,7 @@
       configurations.requestNewer(connection, message.version);
     } else if (message.type === 'levels') applyLevels(message);
     else if (message.type === 'grant') adapterRequests.settle(message);
+    else if (message.type === 'trialReply') quarantine.settleTrial(message);
     else if (message.type === 'configurationRequest') configurations.sendTo(connection);
     else if (message.type === 'configuration') handleConfiguration(message.value);
   };
@@ -131,7 +145,10 @@
       connections.set(name, connection);
     },
     onHostDisconnected: (name) => connections.delete(name),
-    onLeaderConnected: feeds.recordLeader,
+    onLeaderConnected: () => {
+      feeds.recordLeader();
+      quarantine.evidence.resetReported();
+    },
     onLeaderMessage: handleLeaderMessage,
     onLeaderDisconnected: () => {
       serverRegistry.setRemoteLoads(new Map());
@@ -216,6 +233,8 @@
         }
       },
     },
+    quarantine: quarantine.client,
+    setSavedPartGroups: quarantine.setSavedPartGroups,
     listen: transport.listen,
     setHosts: (hosts) => {
       transport.setHosts(hosts);
@@ -231,12 +250,15 @@
       options.metrics.setLeading(fence !== undefined);
       feeds.setLeading(fence !== undefined);
       resetStoreResponses();
+      quarantine.evidence.resetReported();
       if (fence !== undefined) {
         leader = startFleetLeader({
           ...options,
           fence,
           levels: rateLimiter.getLevels(),
           lastRegisteredAtMs,
+          savedPartGroups: quarantine.listPartGroups(),
+          writePartGroups: (groups) => options.membership().writePartGroups(groups),
           confirmLeadership: () => options.membership().confirmLeadership(),
           isLeadershipConfirmed: () => options.membership().isLeadershipConfirmed(),
         });
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -8,7 +8,7 @@
 import type { ServerRegistry } from '../createServerRegistry/index.js';
 import type { FleetHost, Membership } from '../maintainMembership/index.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
-import type { PlacementClient } from '../types.js';
+import type { PlacementClient, QuarantineClient, SavedPartGroup } from '../types.js';
 import type { LeaderFeeds } from './_lib/createLeaderFeeds.js';
 
 /** Prefixes of the store whose changes the leader passes on. */
@@ -22,6 +22,9 @@
 /** A host as member of the fleet: it reports to the leader, or is the leader itself. */
 export interface FleetMember {
   placement: PlacementClient;
+  quarantine: QuarantineClient;
+  /** Sets the prompt parts in quarantine as they are stored. */
+  setSavedPartGroups: (groups: readonly SavedPartGroup[]) => void;
   /** Starts to accept connections of leaders; resolves to the port. */
   listen: (address: string, port: number) => Promise<number>;
   /** Sets the hosts that are registered in the store. */
--- a/src/serving/createOrganisationRateLimiter/test.ts
+++ b/src/serving/createOrganisationRateLimiter/test.ts
@@ -20,6 +20,8 @@
     inUse: [],
     silent: [],
     unreachable: [],
+    crashes: [],
+    servedParts: [],
   };
 }
 
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -15,6 +15,24 @@
 });
 const numbersByName = z.record(z.string(), z.number());
 
+/** Crashes in one report; further ones follow with the next. */
+export const MAX_REPORTED_CRASHES = 16;
+/** Prompt parts of one crash: a few for each request that a server has in its batch. */
+export const MAX_CRASH_PARTS = 64;
+const crash = z.object({
+  /** Incarnation of the server. */
+  server: name,
+  ageMs: z.number(),
+  parts: z.array(name).max(MAX_CRASH_PARTS),
+});
+const quarantine = z.object({
+  /** Parts of crashes for which hosts report whether they have served them. */
+  watched: z.array(name),
+  groups: z.array(
+    z.object({ parts: z.array(name), crashes: z.number(), failedTrials: z.number() }),
+  ),
+});
+
 const fleetMessageSchema = z.discriminatedUnion('type', [
   /** Announces the sender as leader; the first message that a leader sends on a connection. */
   z.object({ type: z.literal('command'), host: name, fence: z.number() }),
@@ -39,6 +57,10 @@
     silent: z.array(name),
     /** Servers that this host cannot connect to; absent in older versions. */
     unreachable: z.array(name).default([]),
+    /** Servers that broke their connections to this host, since the last report to this leader. */
+    crashes: z.array(crash).max(MAX_REPORTED_CRASHES).default([]),
+    /** Milliseconds since this host last served requests with watched prompt parts, by part. */
+    servedParts: z.array(z.tuple([name, z.number()])).default([]),
   }),
   /** Aggregated state of the fleet that the leader sends to each host every round. */
   z.object({
@@ -71,6 +93,8 @@
     /** Servers that changed, and ids of servers that were deregistered, since the last view. */
     servers: z.array(server),
     removed: z.array(name),
+    /** Prompt parts seen in crashes and those in quarantine; only when they have changed. */
+    quarantine: quarantine.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
@@ -103,6 +127,9 @@
     shares: numbersByName,
     ownAdmitted: numbersByName,
   }),
+  /** Asks whether a request with quarantined prompt parts may be sent to see if it still crashes. */
+  z.object({ type: z.literal('trial'), id: z.number(), parts: z.array(name) }),
+  z.object({ type: z.literal('trialReply'), id: z.number(), isGranted: z.boolean() }),
   z.object({ type: z.literal('configurationRequest') }),
   z.object({ type: z.literal('configuration'), value: z.instanceof(Uint8Array) }),
 ]);
@@ -116,8 +143,12 @@
 /** Tokens that a host has admitted since its start, with its shares when taken from a report. */
 export type HostAdmissions = Pick<FleetReport, 'host' | 'incarnation' | 'admitted'> &
   Partial<Pick<FleetReport, 'shares'>>;
+/** A crash of a server as a host reports it. */
+export type ReportedCrash = FleetReport['crashes'][number];
 /** View of the fleet that the leader sends to a host every round. */
 export type FleetView = Extract<FleetMessage, { type: 'view' }>;
+/** Prompt parts in quarantine, and those watched, as the leader sends them. */
+export type FleetQuarantine = NonNullable<FleetView['quarantine']>;
 
 /** Validates a decoded frame as a fleet message; throws when it is not one. */
 export function parseFleetMessage(value: unknown): FleetMessage {
--- a/src/serving/maintainMembership/_lib/fleetState.ts
+++ b/src/serving/maintainMembership/_lib/fleetState.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { StoreChange } from '../../../ports/fleetStore.js';
 import type { Log } from '../../../ports/log.js';
+import type { SavedPartGroup } from '../../types.js';
 
 /** Store prefix of all keys of the fleet. */
 export const FLEET_PREFIX = 'bronzelanding/';
@@ -11,6 +12,9 @@
 /** Key of the last leader that may have sent orders; outlives the lease. */
 export const LAST_LEADER_KEY = `${FLEET_PREFIX}last-holder`;
 
+/** Key of the prompt parts in quarantine, which the leader writes. */
+export const QUARANTINE_KEY = `${FLEET_PREFIX}quarantine`;
+
 /** A registered host and the address at which it accepts connections of peers. */
 export interface FleetHost {
   name: string;
@@ -41,6 +45,8 @@
   /** Last host that may have sent orders, or empty; another leader waits for the handover. */
   lastHolder: string;
   lastHolderRevision: number;
+  /** Prompt parts in quarantine. */
+  partGroups: readonly SavedPartGroup[];
   /** Whether a snapshot of the keys was read at least once. */
   hasSnapshot: boolean;
 }
@@ -55,6 +61,15 @@
   address: z.string(),
   incarnation: z.string(),
 });
+const partGroupsSchema = z.array(
+  z.object({
+    parts: z.array(z.string()),
+    crashes: z.number(),
+    trials: z.number(),
+    failedTrials: z.number(),
+    wasServed: z.boolean(),
+  }),
+);
 const lastLeaderSchema = z.object({ holder: z.string() });
 
 /** Applies one change of the fleet's keys; an invalid value is logged and ignored. */
@@ -68,7 +83,9 @@
     else if (key === LAST_LEADER_KEY) {
       state.lastHolder = parsed === undefined ? '' : lastLeaderSchema.parse(parsed).holder;
       state.lastHolderRevision = parsed === undefined ? 0 : revision;
-    } else if (key.startsWith(HOSTS_PREFIX)) {
+    } else if (key === QUARANTINE_KEY)
+      state.partGroups = parsed === undefined ? [] : partGroupsSchema.parse(parsed);
+    else if (key.startsWith(HOSTS_PREFIX)) {
       const name = key.slice(HOSTS_PREFIX.length);
       if (parsed === undefined) state.hosts.delete(name);
       else state.hosts.set(name, { name, revision, ...hostSchema.parse(parsed) });
--- a/src/serving/maintainMembership/index.ts
+++ b/src/serving/maintainMembership/index.ts
@@ -5,63 +5,24 @@
 import { mayAcquireLeadership } from '../../decisions/leadership/mayAcquireLeadership/index.js';
 import { isLeaseValid } from '../../decisions/leadership/isLeaseValid/index.js';
 import { formatError } from '../../errors/index.js';
-import type { Clock } from '../../ports/clock.js';
-import {
-  TransactionResult,
-  type FleetStore,
-  type StoreChange,
-  type StoreItem,
-} from '../../ports/fleetStore.js';
-import type { Log } from '../../ports/log.js';
-import type { StoreOutage } from '../createStoreOutage/index.js';
-import { watchPrefix, type LeaderFeed } from '../watchPrefix/index.js';
+import { TransactionResult, type StoreChange, type StoreItem } from '../../ports/fleetStore.js';
+import { watchPrefix } from '../watchPrefix/index.js';
 import {
   applyStoreChange,
   LEADER_KEY,
   FLEET_PREFIX,
   LAST_LEADER_KEY,
-  type FleetHost,
   type FleetState,
-  type RegisteredHost,
 } from './_lib/fleetState.js';
 import { createHeldLease } from './_lib/createHeldLease.js';
 import { createPauseDetector } from './_lib/createPauseDetector.js';
 import { maintainRegistration } from './_lib/maintainRegistration.js';
+import { writePartGroups } from './_lib/writePartGroups.js';
 
-export type { FleetHost, RegisteredHost } from './_lib/fleetState.js';
-
-/** This host's membership: its registration, the other hosts and the leadership of the fleet. */
-export interface Membership {
-  listHosts: () => RegisteredHost[];
-  /** Confirms that this host is leader and may send orders, renewing its lease if needed. */
-  confirmLeadership: () => Promise<boolean>;
-  /** Whether the lease of the leadership is known to hold at this moment. */
-  isLeadershipConfirmed: () => boolean;
-  /** Ends the registration and the leadership. */
-  leave: () => Promise<void>;
-}
+import type { MaintainMembershipOptions, Membership } from './types.js';
 
-/** Options of `maintainMembership`. */
-export interface MaintainMembershipOptions {
-  store: FleetStore;
-  clock: Clock;
-  log: Log;
-  random: () => number;
-  self: FleetHost;
-  incarnation: string;
-  /** Duration of the leader's lease. */
-  leaderTtlMs: number;
-  /** Duration of the lease of a registration. */
-  registrationTtlMs: number;
-  /** Time after a change of leader until orders of the previous one can no longer take effect. */
-  handoverMs: number;
-  signal: AbortSignal;
-  feed: LeaderFeed;
-  outage: StoreOutage;
-  onHosts: (hosts: FleetHost[]) => void;
-  /** Called with the fencing token when this host starts to lead, undefined when it stops. */
-  onLeadershipChange: (fence: number | undefined) => void;
-}
+export type { FleetHost, RegisteredHost } from './_lib/fleetState.js';
+export type * from './types.js';
 
 const WATCH_PAUSE_MS = 200;
 /** Bounds the time for which a watch on a connection that went silent is trusted. */
@@ -77,6 +38,7 @@
     hosts: new Map(),
     lastHolder: '',
     lastHolderRevision: 0,
+    partGroups: [],
     hasSnapshot: false,
   };
   const ownRecord = { holder: self.name, address: self.address, incarnation };
@@ -222,8 +184,11 @@
 
   const applyChanges = (changes: readonly StoreChange[]): void => {
     const before = [...state.hosts.keys()].join();
+    const { partGroups } = state;
     for (const change of changes) applyStoreChange(state, change, log);
     state.hasSnapshot = true;
+    // A new leader starts with them.
+    if (state.partGroups !== partGroups) options.onPartGroups(state.partGroups);
     updateLeadership();
     const hosts = [...state.hosts.values()];
     if (before !== [...state.hosts.keys()].join()) {
@@ -273,6 +238,7 @@
       if (fence === undefined || mayHaveOrdersInFlight(state.lastHolder)) return false;
       return isLeadershipConfirmed() || ((await leaderLease.renew()) && isLeadershipConfirmed());
     },
+    writePartGroups: (groups) => writePartGroups(options, fence, groups),
     leave: async () => {
       isLeaving = true;
       const lease = leaderLease.getId();
--- a/src/serving/maintainMembership/test.ts
+++ b/src/serving/maintainMembership/test.ts
@@ -76,6 +76,7 @@
       isWatcher: () => true,
     },
     onHosts: () => undefined,
+    onPartGroups: () => undefined,
     onLeadershipChange: (next) => {
       fence = next;
     },
--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -39,6 +39,8 @@
   lastEventId?: string;
   /** Milliseconds from the arrival of the request to the response head. */
   firstBytesMs?: number;
+  /** Whether the server ended the connection when it had not begun to answer, or only just. */
+  isCrashSuspected: boolean;
 }
 
 /** Options of running one attempt and relaying its response. */
@@ -52,11 +54,14 @@
   lastEventId?: string;
   /** Reserves a retry on another server; only then may this attempt be given up while it runs. */
   tryFailOver: () => boolean;
+  /** Called once when the server has been answering for `SUSTAINED_OUTPUT_MS`. */
+  onSustainedOutput: () => void;
   /** Whether the server sends nothing to any request of this host. */
   isServerSilent: () => boolean;
 }
 
 const MAX_EVENT_BYTES = 1_048_576; // far above the few tokens of an event
+const SUSTAINED_OUTPUT_MS = 500; // a server that fails on a prompt does so with its first tokens
 const SILENCE_CHECK_INTERVAL_MS = 100; // a fraction of the shortest silence for which a server is left
 
 /** Sends a request to one server and relays the response; settles when the attempt has ended. */
@@ -69,6 +74,7 @@
     reason: '',
     status: 0,
     lastEventId,
+    isCrashSuspected: false,
   };
   return new Promise((resolve) => {
     let isFinished = false;
@@ -79,6 +85,8 @@
     let pendingBytes: Buffer = Buffer.alloc(0);
     let bodyBytes = 0;
     let orphanTimer: NodeJS.Timeout | undefined;
+    let outputSinceMs = Infinity;
+    let isOutputSustained = false;
     let lastBytesAtMs = clock.monotonicMs();
     const remainingMs = request.deadlineAtMs - lastBytesAtMs;
 
@@ -149,7 +157,10 @@
       );
       incompleteEvent = Buffer.from(split.rest);
       const isProgress = !isOnlyComments(split.whole);
-      if (isProgress) lastBytesAtMs = clock.monotonicMs();
+      if (isProgress) {
+        lastBytesAtMs = clock.monotonicMs();
+        recordOutput();
+      }
       result.lastEventId = split.lastEventId ?? result.lastEventId;
       if (pendingHead !== undefined && !isProgress) {
         pendingBytes = Buffer.concat([pendingBytes, split.whole]);
@@ -161,6 +172,13 @@
       abortAttempt(AttemptOutcome.failed, `no event ends within ${MAX_EVENT_BYTES} bytes`);
       return true;
     };
+    const recordOutput = (): void => {
+      const nowMs = clock.monotonicMs();
+      outputSinceMs = Math.min(outputSinceMs, nowMs);
+      if (isOutputSustained || nowMs - outputSinceMs < SUSTAINED_OUTPUT_MS) return;
+      isOutputSustained = true;
+      options.onSustainedOutput();
+    };
     const onData = (chunk: Buffer): boolean => {
       if (isFinished) return true;
       trackedRequest.recordBytes();
@@ -208,8 +226,9 @@
         },
         onData,
         onEnd,
-        onFailure: (failure, reason) => {
+        onFailure: (failure, reason, isDisconnected) => {
           clearTimeout(orphanTimer);
+          result.isCrashSuspected = isDisconnected && !isOutputSustained;
           finish(AttemptOutcome.failed, reason, failure);
         },
       },
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -15,6 +15,7 @@
   computeRemainingMs,
   describeRequest,
   failRequest,
+  listSharedPartIds,
   MIN_RETRY_AFTER_MS,
   recordCompletion,
   refuseRequest,
@@ -23,6 +24,9 @@
 
 const MAX_SENDS = 5; // a refusal costs a round trip, and further servers rarely have capacity either
 const DEFAULT_RETRY_AFTER_MS = 1000; // servers register and deregister within seconds
+/** Nothing changes for the prompt until operators have acted, so that a sooner return is in vain. */
+const QUARANTINE_RETRY_AFTER_MS = 600_000;
+const TRIAL_RETRY_AFTER_MS = 1000; // the first events of the trial, and two rounds until all hosts know of them
 const SHARED_PROMPT_WEIGHT = 0.3; // shared prompt parts occupy memory once for all requests
 const OUTPUT_TOKEN_WORK = 8; // an output token costs about as much as this many prompt tokens
 
@@ -95,6 +99,8 @@
   state.sends += 1;
   state.lastServer = server.id;
   state.hasReservedRetry = false;
+  const sharedPartIds = listSharedPartIds(request);
+  const sentAtMs = context.clock.monotonicMs();
   const result = await runAttempt({
     context,
     request,
@@ -103,9 +109,13 @@
     trackedRequest,
     lastEventId: state.lastEventId,
     tryFailOver: () => tryReserveRetry(state, server),
+    onSustainedOutput: () => context.quarantine.recordServed(sharedPartIds),
     isServerSilent: () => context.serverRegistry.isServerSilent(server.id),
   });
   trackedRequest.release(toServerOutcome(result));
+  if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
+  if (result.isCrashSuspected)
+    context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
   for (const name of usedNames) context.recordModelUse(server.id, name, -1);
   context.metrics.countAttempt(request.service, result.failure ?? result.outcome);
   state.lastEventId = result.lastEventId ?? state.lastEventId;
@@ -165,10 +175,30 @@
   return expectedMs ?? DEFAULT_RETRY_AFTER_MS;
 }
 
+/**
+ * Refuses a request whose prompt crashes servers, unless it is granted as the trial that shows
+ * whether it still does; returns whether it was refused.
+ */
+async function refuseQuarantined(state: RequestState): Promise<boolean> {
+  const { quarantine } = state.context;
+  const parts = listSharedPartIds(state.request);
+  const groups = quarantine.listQuarantined(parts);
+  if (groups.length === 0 || (await quarantine.requestTrial(parts))) return false;
+  const isConfirmed = groups.some(({ failedTrials }) => failedTrials > 0);
+  const retryAfterMs = isConfirmed ? QUARANTINE_RETRY_AFTER_MS : TRIAL_RETRY_AFTER_MS;
+  refuseRequest(state, 'servers crash on a part of the prompt', retryAfterMs, {
+    quarantinedParts: groups.map(({ parts: ids }) => ids.join('+')).join(),
+    crashes: Math.max(...groups.map(({ crashes }) => crashes)),
+    isConfirmed,
+  });
+  return true;
+}
+
 /** Runs attempts until the request is served or has failed. */
 async function serveUntilDone(state: RequestState): Promise<void> {
   const { request, response } = state;
   for (;;) {
+    if (await refuseQuarantined(state)) return;
     const selection = await chooseServer(state);
     if (response.signal.aborted) {
       recordCompletion(state, 0, 'caller left');
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -12,9 +12,10 @@
   HostAdmissions,
 } from '../fleetMessages.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
-import type { AdapterGrant, AdapterRequest } from '../types.js';
+import type { AdapterGrant, AdapterRequest, SavedPartGroup } from '../types.js';
 import { createReplicaScheduler } from './_lib/createReplicaScheduler.js';
 import { createModelDemandMeter } from './_lib/createModelDemandMeter.js';
+import { createPartQuarantine } from '../createPartQuarantine/index.js';
 import { createServerFaults } from './_lib/createServerFaults.js';
 import { collectServerChanges } from './_lib/collectServerChanges.js';
 
@@ -36,6 +37,10 @@
   levels: ReadonlyMap<string, number>;
   /** When hosts were last seen registered; an unreachable one may still serve requests. */
   lastRegisteredAtMs: ReadonlyMap<string, number>;
+  /** Prompt parts in quarantine as the previous leader stored them. */
+  savedPartGroups: readonly SavedPartGroup[];
+  /** Stores the prompt parts in quarantine; resolves to whether they are stored. */
+  writePartGroups: (groups: readonly SavedPartGroup[]) => Promise<boolean>;
 }
 
 /** Work of the leader: aggregates the hosts' reports, grants adapters and places replicas. */
@@ -60,6 +65,8 @@
   ) => (host: string) => Omit<FleetView, 'isStandby'>;
   /** Grants an adapter on the first of the requested servers that can provide it. */
   grantAdapter: (request: AdapterRequest) => Promise<AdapterGrant | undefined>;
+  /** Grants a trial of quarantined prompt parts to one request with them. */
+  tryTrial: (parts: readonly string[]) => boolean;
   stop: () => void;
 }
 
@@ -87,6 +94,7 @@
   const buckets = createFleetTokenBuckets({ clock, levels: options.levels });
   const demand = createModelDemandMeter(clock.monotonicMs());
   const faults = createServerFaults(clock);
+  const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
   /** When the number of servers last increased. */
@@ -165,6 +173,7 @@
       if (service.engines !== undefined) replicas.startMoves(service.name, service.engines);
   };
   const planningTimer = setInterval(() => {
+    if (options.isLeadershipConfirmed()) void quarantine.save(options.writePartGroups);
     runPlanningPass().catch((error: unknown) =>
       log.error({ error: String(error) }, 'replica planning pass failed'),
     );
@@ -196,6 +205,7 @@
       const previous = hosts.get(report.host);
       buckets.recordAdmissions(report);
       demand.record(report.demand);
+      quarantine.recordReport(report);
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -224,6 +234,7 @@
     resetSentState: (host) => {
       hosts.get(host)?.sentAdapters.clear();
       hosts.get(host)?.sentServers.clear();
+      quarantine.resetSent(host);
     },
     prepareViews: (hostCount, isCurrent) => {
       loads = sumLoads();
@@ -236,6 +247,7 @@
         controller.listUnloadingModels().map((model) => `${id}/${model}`),
       );
       const loadingMs = replicas.computeLoadingMs();
+      quarantine.update();
       return (host) => {
         const state = hosts.get(host);
         const changed = adapters.filter(({ id, text }) => state?.sentAdapters.get(id) !== text);
@@ -252,6 +264,7 @@
           leavingModels,
           loadingMs,
           suspects,
+          quarantine: quarantine.takeState(host),
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
           ...collectServerChanges(
@@ -273,6 +286,7 @@
       );
       return undefined;
     },
+    tryTrial: quarantine.tryTrial,
     stop: () => {
       isStopped = true;
       clearInterval(planningTimer);
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Log } from '../ports/log.js';
 import type { BackendClient } from '../ports/serving.js';
+import type { CrashEvidence } from './createCrashEvidence/index.js';
 import type { OrganisationRateLimiter } from './createOrganisationRateLimiter/index.js';
 import type { ServiceRetryBudget } from './createServiceRetryBudget/index.js';
 import type { ServerRegistry } from './createServerRegistry/index.js';
@@ -41,6 +42,24 @@
   ) => Promise<void>;
 }
 
+/** A group of quarantined prompt parts as it is stored, so that it outlives the processes. */
+export interface SavedPartGroup {
+  parts: readonly string[];
+  crashes: number;
+  trials: number;
+  failedTrials: number;
+  wasServed: boolean;
+}
+
+/** Prompt parts that crash servers, as requests use them. */
+export interface QuarantineClient extends Pick<
+  CrashEvidence,
+  'listQuarantined' | 'recordCrash' | 'recordServed'
+> {
+  /** Asks whether a request with quarantined parts may be sent; false without a leader. */
+  requestTrial: (parts: readonly string[]) => Promise<boolean>;
+}
+
 /** Dependencies of serving requests. */
 export interface ServingContext {
   clock: Clock;
@@ -52,6 +71,7 @@
   rateLimiter: OrganisationRateLimiter;
   retryBudget: ServiceRetryBudget;
   placement: PlacementClient;
+  quarantine: QuarantineClient;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
