--- a/src/serving/createCrashEvidence/index.ts
+++ b/src/serving/createCrashEvidence/index.ts
@@ -83,7 +83,7 @@
     findCrashingParts(crashes as readonly ServerCrash[], servedAtMs).map((group) => ({
       parts: [...group.parts],
       crashes: group.crashes,
-      failedTrials: 0,
+      confirmations: 0,
     }));
 
   return {
--- a/src/serving/createCrashEvidence/test.ts
+++ b/src/serving/createCrashEvidence/test.ts
@@ -43,7 +43,7 @@
 });
 
 t.test('takes stored groups over only while there is no leader', (t) => {
-  const stored = { watched: [], groups: [{ parts: ['bad'], crashes: 2, failedTrials: 0 }] };
+  const stored = { watched: [], groups: [{ parts: ['bad'], crashes: 2, confirmations: 0 }] };
   const led = createEvidence();
   led.setQuarantine(stored, 'store');
   t.equal(led.listQuarantined(['bad']).length, 0);
--- a/src/serving/createFleetMember/_lib/createMemberQuarantine.ts
+++ b/src/serving/createFleetMember/_lib/createMemberQuarantine.ts
@@ -54,10 +54,10 @@
     settleTrial: ({ id, isGranted }) => replies.settle(id, isGranted),
     setSavedPartGroups: (groups) => {
       savedGroups = groups;
-      const stored = groups.map(({ parts, crashes, failedTrials }) => ({
+      const stored = groups.map(({ parts, crashes, confirmations }) => ({
         parts: [...parts],
         crashes,
-        failedTrials,
+        confirmations,
       }));
       evidence.setQuarantine({ watched: [], groups: stored }, 'store');
     },
@@ -66,7 +66,7 @@
       const others = evidence.getGroups().filter(({ parts }) => !stored.has(parts.join()));
       return [
         ...savedGroups,
-        ...others.map((group) => ({ ...group, trials: group.failedTrials, wasServed: false })),
+        ...others.map((group) => ({ ...group, trials: group.confirmations, wasServed: false })),
       ];
     },
   };
--- a/src/serving/createPartQuarantine/index.ts
+++ b/src/serving/createPartQuarantine/index.ts
@@ -26,8 +26,9 @@
 interface Group extends PartGroup {
   parts: string[];
   trials: number;
-  failedTrials: number;
+  confirmations: number;
   trialAtMs: number;
+  firstCrashAtMs: number;
   /** Whether the last trial has ended in a crash, or there was none. */
   isTrialOver: boolean;
 }
@@ -37,6 +38,9 @@
 const CRASH_RETENTION_MS = 600_000;
 const GROUP_RETENTION_MS = 86_400_000; // then two servers may crash with the parts again
 const MAX_GROUPS = 64;
+/** Servers that crashed with parts never served, over a time in which not one cause ends them all. */
+const EVIDENT_CRASHES = 4;
+const MIN_EVIDENT_SPAN_MS = 1000;
 /** Bounds the views; parts of most crashes are watched first. */
 const MAX_WATCHED_PARTS = 64;
 /** Hosts are told to watch a part with one view, and report with the next round that they served it. */
@@ -49,6 +53,7 @@
   saved: readonly SavedPartGroup[];
 }): PartQuarantine {
   const { clock, log } = options;
+  const startedAtMs = clock.monotonicMs();
   const servedAtMs = new Map<string, number>();
   /** Since when hosts are told to watch a part; parts in most crashes first. */
   let watchedSinceMs: ReadonlyMap<string, number> = new Map();
@@ -56,8 +61,9 @@
   let groups: Group[] = options.saved.map((group) => ({
     ...group,
     parts: [...group.parts],
-    lastCrashAtMs: clock.monotonicMs(),
-    trialAtMs: clock.monotonicMs(),
+    firstCrashAtMs: startedAtMs,
+    lastCrashAtMs: startedAtMs,
+    trialAtMs: startedAtMs,
     isTrialOver: true,
   }));
   /** State as text as last sent to each host. */
@@ -71,24 +77,37 @@
     isSaved = false;
   };
 
+  const confirm = (group: Group, reason: string): void => {
+    group.confirmations += 1;
+    group.isTrialOver = true;
+    const { parts, crashes: count, confirmations } = group;
+    log.warn({ parts, crashes: count, confirmations, reason }, 'servers crash on prompt parts');
+    isSaved = false;
+  };
+
   /** Counts a crash for the group that explains it best. */
   const countCrash = (crash: ServerCrash): void => {
     const [group] = listMatchingGroups(groups, [...crash.parts]).sort(
       (one, other) =>
         Number(one.wasServed) - Number(other.wasServed) || other.crashes - one.crashes,
     );
-    if (group === undefined) return;
+    // Hosts report crashes again that the previous leader has counted.
+    if (group === undefined || crash.atMs < group.firstCrashAtMs) return;
     group.crashes += 1;
     group.lastCrashAtMs = Math.max(group.lastCrashAtMs, crash.atMs);
-    if (!group.isTrialOver && crash.atMs >= group.trialAtMs) {
-      group.isTrialOver = true;
-      group.failedTrials += 1;
-      log.warn(
-        { parts: group.parts, crashes: group.crashes, failedTrials: group.failedTrials },
-        'trial of quarantined prompt parts ended in a crash',
-      );
-    }
     isSaved = false;
+    if (!group.isTrialOver && crash.atMs >= group.trialAtMs) confirm(group, 'trial');
+  };
+
+  /** Confirms what has crashed so many servers over some time that no trial is needed. */
+  const confirmEvident = (nowMs: number): void => {
+    for (const group of groups) {
+      const { confirmations, wasServed, crashes: count, firstCrashAtMs, lastCrashAtMs } = group;
+      if (confirmations > 0 || wasServed || count < EVIDENT_CRASHES) continue;
+      if (lastCrashAtMs - firstCrashAtMs < MIN_EVIDENT_SPAN_MS) continue;
+      group.trialAtMs = nowMs;
+      confirm(group, 'crashes');
+    }
   };
 
   const recordCrash = (
@@ -153,8 +172,13 @@
       ...group,
       parts: [...group.parts],
       trials: 0,
-      failedTrials: 0,
+      confirmations: 0,
       trialAtMs: -Infinity,
+      firstCrashAtMs: Math.min(
+        ...unexplained
+          .filter(({ parts }) => group.parts.every((part) => parts.has(part)))
+          .map(({ atMs }) => atMs),
+      ),
       isTrialOver: true,
     }));
     setGroups([...groups, ...fresh].slice(-MAX_GROUPS));
@@ -173,10 +197,10 @@
   const buildState = (): void => {
     state = {
       watched: [...watchedSinceMs.keys()],
-      groups: groups.map(({ parts, crashes: count, failedTrials }) => ({
+      groups: groups.map(({ parts, crashes: count, confirmations }) => ({
         parts,
         crashes: count,
-        failedTrials,
+        confirmations,
       })),
     };
     stateText = JSON.stringify(state);
@@ -184,7 +208,7 @@
   buildState();
 
   const isTrialDue = (group: Group, nowMs: number): boolean =>
-    nowMs - group.trialAtMs >= computeTrialDelayMs(group.trials, group.failedTrials);
+    nowMs - group.trialAtMs >= computeTrialDelayMs(group);
 
   return {
     recordReport: ({ host, crashes: reported, servedParts }) => {
@@ -199,6 +223,7 @@
       const unexplained = listUnexplained();
       watch(listSuspected(unexplained), nowMs);
       addGroups(unexplained, nowMs);
+      confirmEvident(nowMs);
       buildState();
     },
     takeState: (host) => {
@@ -223,11 +248,11 @@
     save: async (write) => {
       if (isSaved) return;
       isSaved = true;
-      const saved = groups.map(({ parts, crashes: count, trials, failedTrials, wasServed }) => ({
+      const saved = groups.map(({ parts, crashes: count, trials, confirmations, wasServed }) => ({
         parts,
         crashes: count,
         trials,
-        failedTrials,
+        confirmations,
         wasServed,
       }));
       if (!(await write(saved))) isSaved = false;
--- a/src/serving/createPartQuarantine/test.ts
+++ b/src/serving/createPartQuarantine/test.ts
@@ -181,7 +181,7 @@
     return Promise.resolve(false);
   };
   await fleet.leader?.save(write);
-  t.match(saved, [{ parts: ['bad'], crashes: 3, trials: 1, failedTrials: 1 }]);
+  t.match(saved, [{ parts: ['bad'], crashes: 3, trials: 1, confirmations: 1 }]);
   saved = [];
   await fleet.leader?.save((groups) => write(groups).then(() => true));
   t.equal(saved.length, 1, 'stored again after a failure');
@@ -210,3 +210,28 @@
   t.equal(state?.groups.length, 0);
   t.end();
 });
+
+t.test('no trial is needed for what crashed four servers over a second', (t) => {
+  const fleet = createFleet(4);
+  for (let host = 0; host < 4; host += 1) {
+    fleet.crash(host, `e${host}`, 'bad');
+    fleet.runRounds(2);
+  }
+  fleet.runRounds(2);
+  t.equal(fleet.leader?.tryTrial(['bad']), false);
+  t.end();
+});
+
+t.test('a new leader does not count again what hosts report to it again', (t) => {
+  const fleet = createFleet(3);
+  fleet.crash(0, 'e1', 'rare');
+  fleet.runRounds(6);
+  fleet.crash(1, 'e2', 'rare');
+  fleet.runRounds(4);
+  const group = { parts: ['rare'], crashes: 2, trials: 0, confirmations: 0, wasServed: false };
+  fleet.setLeader([group]);
+  fleet.runRounds(4);
+  t.equal(fleet.leader?.takeState('another host')?.groups[0]?.crashes, 2);
+  t.equal(fleet.leader?.tryTrial(['rare']), true);
+  t.end();
+});
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -29,7 +29,7 @@
   /** Parts of crashes for which hosts report whether they have served them. */
   watched: z.array(name),
   groups: z.array(
-    z.object({ parts: z.array(name), crashes: z.number(), failedTrials: z.number() }),
+    z.object({ parts: z.array(name), crashes: z.number(), confirmations: z.number() }),
   ),
 });
 
--- a/src/serving/maintainMembership/_lib/fleetState.ts
+++ b/src/serving/maintainMembership/_lib/fleetState.ts
@@ -66,7 +66,7 @@
     parts: z.array(z.string()),
     crashes: z.number(),
     trials: z.number(),
-    failedTrials: z.number(),
+    confirmations: z.number(),
     wasServed: z.boolean(),
   }),
 );
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -180,11 +180,14 @@
  * whether it still does; returns whether it was refused.
  */
 async function refuseQuarantined(state: RequestState): Promise<boolean> {
-  const { quarantine } = state.context;
-  const parts = listSharedPartIds(state.request);
+  const { context, request } = state;
+  const { quarantine } = context;
+  const parts = listSharedPartIds(request);
   const groups = quarantine.listQuarantined(parts);
-  if (groups.length === 0 || (await quarantine.requestTrial(parts))) return false;
-  const isConfirmed = groups.some(({ failedTrials }) => failedTrials > 0);
+  if (groups.length === 0) return false;
+  const isServerAvailable = context.serverRegistry.listCandidates(request).length > 0;
+  if (isServerAvailable && (await quarantine.requestTrial(parts))) return false;
+  const isConfirmed = groups.some(({ confirmations }) => confirmations > 0);
   const retryAfterMs = isConfirmed ? QUARANTINE_RETRY_AFTER_MS : TRIAL_RETRY_AFTER_MS;
   refuseRequest(state, 'servers crash on a part of the prompt', retryAfterMs, {
     quarantinedParts: groups.map(({ parts: ids }) => ids.join('+')).join(),
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -286,7 +286,7 @@
       );
       return undefined;
     },
-    tryTrial: quarantine.tryTrial,
+    tryTrial: (parts) => options.isLeadershipConfirmed() && quarantine.tryTrial(parts),
     stop: () => {
       isStopped = true;
       clearInterval(planningTimer);
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -47,7 +47,7 @@
   parts: readonly string[];
   crashes: number;
   trials: number;
-  failedTrials: number;
+  confirmations: number;
   wasServed: boolean;
 }
 
