Do not take a refusal written once more for one of the next request

A faulty engine writes an earlier refusal once more on a kept connection. Callers of a stream that may run once got 503, 'not run', for a request that ran; a request whose adapter was missing at first ran twice, at two engines.

Cause: two ways past the check of the request's id. A refusal without an id was believed on any connection; and a request that an engine refused for a missing adapter is sent to it again under the same id, on the connection that may hold the second copy.

On a new connection the first answer can only be that of its request.

The OpenAI protocol holds: a refusal's connection is not used again.

The stand-in engine's error status now also answers streams, as its description says.

--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -52,6 +52,8 @@
   trackedRequest: TrackedRequest;
   /** Resumes a stream after the event with this id. */
   lastEventId?: string;
+  /** Whether the server was sent this request before, and refused it. */
+  isResent: boolean;
   /** Reserves a retry on another server; only then may this attempt be given up while it runs. */
   tryFailOver: () => boolean;
   /** Called once when the server has been answering for `SUSTAINED_OUTPUT_MS`. */
@@ -234,7 +236,9 @@
       },
       {
         remainingMs,
-        needsFreshConnection: route.retryPolicy === RetryPolicy.once && !route.isStream,
+        // A refusal written once more on a kept connection would pass for one of the second attempt.
+        needsFreshConnection:
+          options.isResent || (route.retryPolicy === RetryPolicy.once && !route.isStream),
         lastEventId,
       },
     );
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -108,6 +108,7 @@
     server,
     trackedRequest,
     lastEventId: state.lastEventId,
+    isResent: state.missing.has(server.id),
     tryFailOver: () => tryReserveRetry(state, server),
     onSustainedOutput: () => context.quarantine.recordServed(sharedPartIds),
     isServerSilent: () => context.serverRegistry.isServerSilent(server.id),
--- a/tests/support/platformEngine.ts
+++ b/tests/support/platformEngine.ts
@@ -37,6 +37,8 @@
   let connections = 0;
   let areOrdersDelayed = false;
   let born = 1;
+  /** Ids of the requests that were refused last on each connection, with the status. */
+  const lastRefusals = new WeakMap<object, { status: number; requestId: string }>();
 
   const handleOrder = (order: Record<string, unknown>, response: ServerResponse): void => {
     const { holder, fence } = order as { holder: string; fence: number };
@@ -106,14 +108,40 @@
     response.end();
   };
 
+  const refuse = (response: ServerResponse, status: number, requestId: string): void => {
+    if (response.socket !== null) lastRefusals.set(response.socket, { status, requestId });
+    response
+      .writeHead(status, { 'not-executed': '1', 'request-id': requestId, 'content-length': 0 })
+      .end();
+  };
+
+  const repeatRefusal = (socket: ServerResponse['socket'], hasRequestId: boolean): boolean => {
+    const refusal = socket === null ? undefined : lastRefusals.get(socket);
+    if (refusal === undefined) return false;
+    const idLine = hasRequestId ? `Request-Id: ${refusal.requestId}\r\n` : '';
+    socket?.write(
+      `HTTP/1.1 ${refusal.status} Refused\r\nNot-Executed: 1\r\n${idLine}Content-Length: 0\r\n\r\n`,
+    );
+    return true;
+  };
+
   const serve = async (request: ReceivedRequest, response: ServerResponse): Promise<void> => {
     const behaviour = chooseBehaviour(request);
     const { socket } = response;
     if (behaviour === EngineBehaviour.refuse) {
-      response.writeHead(503, { 'not-executed': '1', 'request-id': request.id }).end();
+      refuse(response, 503, request.id);
       return;
     }
     executedRequests.push(request);
+    if (behaviour === EngineBehaviour.repeatRefusal && repeatRefusal(socket, true)) return;
+    if (behaviour === EngineBehaviour.repeatAnonymousRefusal && repeatRefusal(socket, false))
+      return;
+    if (behaviour === EngineBehaviour.notFound || behaviour === EngineBehaviour.error) {
+      const status = behaviour === EngineBehaviour.error ? 500 : 404;
+      response.writeHead(status, { 'request-id': request.id, 'server-seal': `seal-${id}` });
+      response.end(`answer to ${request.id} by ${id}`);
+      return;
+    }
     if (behaviour === EngineBehaviour.hang) return;
     if (behaviour === EngineBehaviour.loseResponse) {
       response.destroy();
@@ -141,8 +169,7 @@
       await wait(eventIntervalMs);
       return void socket?.resetAndDestroy();
     }
-    const status = behaviour === EngineBehaviour.error ? 500 : 200;
-    response.writeHead(status, {
+    response.writeHead(200, {
       'request-id': responseId,
       'content-length': body.length,
       ...seal,
@@ -176,11 +203,11 @@
         });
         return;
       }
+      const requestId = String(incoming.headers['request-id'] ?? '');
       if (!hasModelAndAdapter(incoming.headers)) {
-        response.writeHead(421, {}).end();
+        refuse(response, 421, requestId);
         return;
       }
-      const requestId = String(incoming.headers['request-id'] ?? '');
       await serve(
         {
           id: requestId,
--- a/tests/support/platformEngineTypes.ts
+++ b/tests/support/platformEngineTypes.ts
@@ -25,6 +25,12 @@
   hang: 'hang',
   /** Runs the request and responds with status 500. */
   error: 'error',
+  /** Runs the request and responds with status 404 and a text. */
+  notFound: 'not found',
+  /** On a connection with an earlier refusal: runs the request and writes that refusal once more. */
+  repeatRefusal: 'refuse again',
+  /** The same, without the id of the request. */
+  repeatAnonymousRefusal: 'refuse again without an id',
 } as const;
 export type EngineBehaviour = (typeof EngineBehaviour)[keyof typeof EngineBehaviour];
 
