Keep an error of the next engine out of a stream that has begun

A resumable stream broke off after its first events, and the next engine answered 404 (any status below 500 other than 200): callers got the text of the error in the middle of their stream, which then ended as complete.

Cause: only statuses from 500 counted as a failure of the next engine; any other body was relayed, as the head was sent already.

Now whatever is no event stream with status 200 ends the attempt once the head is sent, and the stream goes on at another engine or is cut off.

tests/faultyAnswers.test.ts 'an error of the next engine does not get into a stream that has begun' failed before: the body held 'answer to ... by e2' and looked complete.

--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -129,12 +129,13 @@
       lastBytesAtMs = clock.monotonicMs();
       result.status = head.status;
       result.firstBytesMs = Math.round(lastBytesAtMs - request.arrivedAtMs);
-      const isFailure = head.status >= 500;
-      if (isFailure && (response.isHeadSent() || tryFailOver())) {
+      isEventStream = route.isStream && head.status === 200;
+      // Whatever is no stream must not get into one that has begun at another server.
+      const isUnfit = response.isHeadSent() && !isEventStream;
+      if (isUnfit || (head.status >= 500 && tryFailOver())) {
         abortAttempt(AttemptOutcome.serverError, `server answered ${head.status}`);
         return;
       }
-      isEventStream = route.isStream && head.status === 200;
       // A resumed stream keeps the response head of its first server; another one is answered only
       // once it has an event, as a response without any can still be replaced by an error.
       if (isEventStream && !response.isHeadSent()) pendingHead = head;
--- a/tests/faultyAnswers.test.ts
+++ b/tests/faultyAnswers.test.ts
@@ -71,6 +71,25 @@
   t.ok(response.status === 200 || response.status === 502, `status ${response.status}`);
 });
 
+t.test('an error of the next engine does not get into a stream that has begun', async (t) => {
+  const fleet = await startPlatformFleet(1, [
+    { id: 'e1', models: { oak: [] } },
+    { id: 'e2', models: { oak: [] } },
+  ]);
+  t.teardown(fleet.close);
+  const [host] = fleet.hosts as [(typeof fleet.hosts)[number]];
+  for (const behaviour of [EngineBehaviour.notFound, EngineBehaviour.error]) {
+    for (const engine of fleet.engines)
+      engine.setBehaviour(({ headers }) =>
+        headers['last-event-id'] === undefined ? EngineBehaviour.truncateResponse : behaviour,
+      );
+    const { body, isComplete } = await sendToHost(host, '/plan/1');
+    t.match(body, /^id: 1\ndata: piece 1\n\n/);
+    t.notMatch(body, /answer|HTTP/, behaviour);
+    t.notOk(isComplete, `${behaviour}: it does not look complete`);
+  }
+});
+
 const cutHeads: Record<string, (id: string) => string> = {
   'the status line': () => 'HTTP/1.1 200 O',
   'a header name': (id) => `${buildHead(id)}Content-Le`,
