--- a/src/serving/createPartQuarantine/index.ts
+++ b/src/serving/createPartQuarantine/index.ts
@@ -37,6 +37,7 @@
 const MAX_CRASH_PARTS = 256; // a full batch whose requests have a few parts each
 const CRASH_RETENTION_MS = 600_000;
 const GROUP_RETENTION_MS = 86_400_000; // then two servers may crash with the parts again
+const SETTLED_UPDATE_INTERVAL_MS = 10_000; // old crashes and groups are dropped then
 const MAX_GROUPS = 64;
 /** Servers that crashed with parts never served, over a time in which not one cause ends them all. */
 const EVIDENT_CRASHES = 4;
@@ -71,6 +72,8 @@
   let state: FleetQuarantine = { watched: [], groups: [] };
   let stateText = '';
   let isSaved = true;
+  let reportedAtMs = startedAtMs;
+  let updatedAtMs = -Infinity;
 
   const setGroups = (next: Group[]): void => {
     groups = next;
@@ -213,12 +216,17 @@
   return {
     recordReport: ({ host, crashes: reported, servedParts }) => {
       const nowMs = clock.monotonicMs();
+      if (reported.length + servedParts.length > 0) reportedAtMs = nowMs;
       for (const [part, ageMs] of servedParts) recordServed(part, nowMs - ageMs);
       for (const crash of reported) recordCrash(host, crash);
     },
     update: () => {
-      if (crashes.length + groups.length === 0) return;
       const nowMs = clock.monotonicMs();
+      if (crashes.length + groups.length === 0) return;
+      // Without new reports nothing is concluded once the hosts had time to answer for watched parts.
+      const isSettled = nowMs - reportedAtMs > 2 * WATCH_TIME_MS;
+      if (isSettled && nowMs - updatedAtMs < SETTLED_UPDATE_INTERVAL_MS) return;
+      updatedAtMs = nowMs;
       dropOld(nowMs);
       const unexplained = listUnexplained();
       watch(listSuspected(unexplained), nowMs);
