Log how old the list of servers was when a host chose one

No line told how old a host's knowledge of the servers was, so that none of the hypotheses on late news of leaving servers could be told apart from the log of a request. Each host now tracks the moment up to which its list is known to be complete: from its own reads of the store, or from the views of the leader, which name the last report that they answer and the age of the leader's own list. So no clocks are compared, and a view that was under way or in a buffer counts as old as it is.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -19,6 +19,7 @@
 import { createServiceRetryBudget } from '../../../serving/createServiceRetryBudget/index.js';
 import { createStoreOutage } from '../../../serving/createStoreOutage/index.js';
 import type { ServerNotices } from '../../../serving/createServerNotices/index.js';
+import { createListAge } from '../../../serving/createListAge/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
 import { watchServers } from '../../../serving/watchServers/index.js';
@@ -108,6 +109,7 @@
       Math.max(serverNotices.getPauseMs(id), fleetMember.requestLimiter.getWaitMs(id)),
   });
   const freshness = computeFreshnessLimits(settings.maximumStalenessMs);
+  const listAge = createListAge(clock);
   const rateLimiter = createOrganisationRateLimiter({ clock });
   const retryBudget = createServiceRetryBudget({
     clock,
@@ -155,6 +157,7 @@
     random: options.random,
     isFirstStart: settings.isFirstStart,
     freshness,
+    listAge,
     membership: (): Membership => membership,
     onConfiguration: (value) => applyConfiguration(Buffer.from(value), 'peer'),
     onServers: (changed, removed) => serverWatch.applyLeaderChanges(changed, removed),
@@ -174,6 +177,7 @@
     serverNotices,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
+    getServersAgeMs: listAge.getAgeMs,
     maximumResponseBytes: settings.maximumResponseBytes,
     getLastSendAtMs: () => lastSendAtMs,
   };
@@ -210,6 +214,7 @@
   void watchPrefix({
     store,
     prefix: options.configuration.prefix,
+    clock,
     log,
     signal,
     random: options.random,
@@ -254,6 +259,7 @@
       );
     },
     onStoreResponse: () => fleetMember.recordStoreResponse(StoreWatch.servers),
+    listAge,
     feed: fleetMember.feeds.changes,
     outage,
   });
--- a/src/serving/createFleetMember/_lib/test.ts
+++ b/src/serving/createFleetMember/_lib/test.ts
@@ -4,6 +4,7 @@
 import { decodeConfigurationValue, encodeConfigurationValue } from './configurationValue.js';
 import { createConfigurationExchange } from './createConfigurationExchange.js';
 import { createLeaderFeeds } from './createLeaderFeeds.js';
+import { createReportLog } from './createReportLog.js';
 
 const CURRENT_VIEW = { isCurrent: true, isStandby: false };
 const OUTDATED_VIEW = { isCurrent: false, isStandby: false };
@@ -156,3 +157,16 @@
   t.throws(() => decodeConfigurationValue(encodeConfigurationValue(Buffer.alloc(8_000_000))));
   t.end();
 });
+
+t.test('a view is as old as the report that it answers and the list of the leader', (t) => {
+  let nowMs = 0;
+  const reports = createReportLog({ monotonicMs: () => nowMs, wallMs: () => nowMs });
+  const number = reports.add();
+  nowMs = 900;
+  t.equal(reports.findCompleteAsOf({ reportNumber: number, serversAgeMs: 300 })?.monotonicMs, -300);
+  t.equal(reports.findCompleteAsOf({ reportNumber: number }), undefined, 'no list yet');
+  t.equal(reports.findCompleteAsOf({ serversAgeMs: 300 }), undefined, 'an older version');
+  for (let index = 0; index < 40; index += 1) reports.add();
+  t.equal(reports.findCompleteAsOf({ reportNumber: number, serversAgeMs: 300 }), undefined);
+  t.end();
+});
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -24,6 +24,7 @@
 import { handleHostMessage } from './_lib/handleHostMessage.js';
 import { createMemberQuarantine } from './_lib/createMemberQuarantine.js';
 import { createPlacementClient } from './_lib/createPlacementClient.js';
+import { createReportLog } from './_lib/createReportLog.js';
 import { createRequestLimiter } from './_lib/createRequestLimiter.js';
 import { createUsageTracker, encodeLoads } from './_lib/createUsageTracker.js';
 
@@ -50,6 +51,7 @@
   /** When the hosts of earlier lists were last seen registered. */
   const lastRegisteredAtMs = new Map<string, number>();
   const usage = createUsageTracker();
+  const reports = createReportLog(clock);
   const configurations = createConfigurationExchange(clock);
   const connections = new Map<string, FleetConnection>();
   const adapterRequests = createAdapterRequests((message) => transport.sendToLeader(message));
@@ -75,6 +77,7 @@
     type: 'report',
     host,
     incarnation: options.incarnation,
+    number: reports.add(),
     version: configurations.getVersion(),
     loads: encodeLoads(serverRegistry.getOwnLoads()),
     admitted: Object.fromEntries(rateLimiter.getAdmitted()),
@@ -106,8 +109,12 @@
     modelReadyAtMs = new Map(
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
     );
-    if (leader === undefined && view.servers.length + view.removed.length > 0)
-      options.onServers(view.servers, view.removed);
+    if (leader === undefined) {
+      if (view.servers.length + view.removed.length > 0)
+        options.onServers(view.servers, view.removed);
+      const asOf = reports.findCompleteAsOf(view);
+      if (asOf !== undefined) options.listAge.recordComplete(asOf);
+    }
     applyLevels(view);
     for (const part of [retryBudget, rateLimiter, serverRegistry]) part.setHostCount(view.hosts);
   };
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -7,6 +7,7 @@
 import type { ServiceRetryBudget } from '../createServiceRetryBudget/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
 import type { ServerRegistry } from '../createServerRegistry/index.js';
+import type { ListAge } from '../createListAge/index.js';
 import type { FleetHost, Membership } from '../maintainMembership/index.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
 import type {
@@ -66,6 +67,8 @@
   /** Whether the whole fleet starts for the first time. */
   isFirstStart: boolean;
   freshness: FreshnessLimits;
+  /** Age of this host's list of servers. */
+  listAge: ListAge;
   membership: () => Membership;
   /** Called with a configuration that a peer has sent. */
   onConfiguration: (value: Uint8Array) => void;
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -54,6 +54,8 @@
     type: z.literal('report'),
     host: name,
     incarnation: name,
+    /** Number of this report since the host's start; absent in older versions. */
+    number: z.number().optional(),
     /** Version of the configuration that the host has. */
     version: z.number(),
     /** Requests in flight, backlog tokens, reserved tokens and urgent backlog tokens by server. */
@@ -85,6 +87,10 @@
   z.object({
     type: z.literal('view'),
     fence: z.number(),
+    /** Last report that the leader had received from the receiving host; absent in older versions. */
+    reportNumber: z.number().optional(),
+    /** Age of the leader's list of servers in milliseconds; absent while it has not read one. */
+    serversAgeMs: z.number().nonnegative().optional(),
     /** Version of the configuration that the leader has. */
     version: z.number(),
     /** Number of hosts. */
--- a/src/serving/maintainMembership/index.ts
+++ b/src/serving/maintainMembership/index.ts
@@ -207,6 +207,7 @@
   void watchPrefix({
     store,
     prefix: FLEET_PREFIX,
+    clock,
     log,
     signal,
     random,
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -36,6 +36,7 @@
     excluded: excludedServers,
     sharedParts,
   });
+  state.serversAgeMs = context.getServersAgeMs();
   const spread = computeChoiceSpread(context.serverRegistry.getHostCount());
   return rankAcceptableFirst(
     rankServers(candidates, routed, context.random, { spread }),
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -52,6 +52,8 @@
   /** Reason for the end of the last attempt. */
   lastReason: string;
   lastServer?: string;
+  /** Age of the list of servers at the last choice, in milliseconds. */
+  serversAgeMs?: number;
 }
 
 /** Computes the milliseconds until the deadline of a request. */
@@ -87,6 +89,7 @@
       // Tells which prompts servers were working on when they failed.
       sharedParts: state.attemptsRun > 0 ? listSharedPartIds(request).join() : undefined,
       version: context.getConfigurationVersion(),
+      serversAgeMs: state.serversAgeMs === undefined ? undefined : Math.round(state.serversAgeMs),
       ...logFields,
     },
     reason,
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -183,6 +183,8 @@
         controller.listUnloadingModels().map((model) => `${id}/${model}`),
       );
       const loadingMs = replicas.computeLoadingMs();
+      const ageMs = options.listAge.getAgeMs();
+      const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
@@ -193,6 +195,8 @@
         return {
           type: 'view',
           fence,
+          reportNumber: state?.report.number,
+          serversAgeMs,
           version: configuration?.version ?? 0,
           hosts: hostCount,
           loads,
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../../ports/log.js';
 import type { ModelOrderClient } from '../../ports/modelOrderClient.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { ListAge } from '../createListAge/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
 import type {
@@ -28,6 +29,8 @@
   /** Whether this host is known to be the leader at this moment, without asking the store. */
   isLeadershipConfirmed: () => boolean;
   serverNotices: Pick<ServerNotices, 'getPauseMs' | 'getRequestLimit' | 'getLimits'>;
+  /** Age of this host's list of servers. */
+  listAge: Pick<ListAge, 'getAgeMs'>;
   /** Levels of the organisations' token buckets as this host last knew them. */
   levels: ReadonlyMap<string, number>;
   /** When hosts were last seen registered; an unreachable one may still serve requests. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -91,6 +91,8 @@
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
+  /** Milliseconds since this host's list of servers is known to have been complete. */
+  getServersAgeMs: () => number;
   /**
    * Monotonic time after which nothing is sent to servers any more, as a planned stop would cut it
    * off; Infinity unless this host is stopping.
--- a/src/serving/watchPrefix/index.ts
+++ b/src/serving/watchPrefix/index.ts
@@ -2,7 +2,9 @@
 import { computeBackoffMs } from '../../decisions/leadership/computeBackoffMs/index.js';
 import { createPause, type Pause } from '../../common/createPause.js';
 import { isAborted } from '../../common/isAborted.js';
+import { addMilliseconds, computeElapsedMs, readMoment, type Moment } from '../../common/moment.js';
 import { formatError } from '../../errors/index.js';
+import type { Clock } from '../../ports/clock.js';
 import type { FleetStore, StoreChange, StoreItem } from '../../ports/fleetStore.js';
 import type { Log } from '../../ports/log.js';
 import type { StoreOutage } from '../createStoreOutage/index.js';
@@ -21,6 +23,7 @@
 export interface WatchPrefixOptions {
   store: FleetStore;
   prefix: string;
+  clock: Clock;
   log: Log;
   signal: AbortSignal;
   /** Timeout of one watch. */
@@ -40,6 +43,8 @@
   onReachabilityChange?: (isReachable: boolean) => void;
   /** Called after each successful response of the store. */
   onStoreResponse?: () => void;
+  /** Called with the moment up to which all changes are known, after these were passed on. */
+  onComplete?: (asOf: Moment) => void;
   feed: LeaderFeed;
   /** Shared by all tasks of the host that watch the store. */
   outage: StoreOutage;
@@ -54,6 +59,15 @@
 const WATCHER_BACKOFF = { firstMs: 300, maximumMs: 1000 };
 const OTHER_BACKOFF = { firstMs: 800, maximumMs: 7200 };
 
+/**
+ * Computes up to which moment the response to a watch tells of all changes: the store holds back one
+ * without changes for the whole wait, and may have sent any other at once.
+ */
+function computeCompleteAsOf(askedAt: Moment, now: Moment, waitMs: number, changes: number): Moment {
+  const wasHeldBack = changes === 0 && computeElapsedMs(askedAt, now) >= waitMs;
+  return wasHeldBack ? addMilliseconds(askedAt, waitMs) : askedAt;
+}
+
 async function listAll(
   store: FleetStore,
   prefix: string,
@@ -76,10 +90,10 @@
  * watches would each be woken by every change.
  */
 export async function watchPrefix(options: WatchPrefixOptions): Promise<void> {
-  const { store, prefix, log, signal, watchTimeoutMs, pauseMs, random, onReachabilityChange } =
+  const { store, prefix, clock, log, signal, watchTimeoutMs, pauseMs, random, onReachabilityChange } =
     options;
   const { onSnapshot, onChanges, feed, isWatchOptional = false, pause = createPause() } = options;
-  const { outage } = options;
+  const { outage, onComplete = () => undefined } = options;
   let revision: number | undefined;
   let isReachable: boolean | undefined;
   const setReachable = (next: boolean, error?: unknown): void => {
@@ -113,6 +127,7 @@
     setFollowingFeed(false);
     try {
       if (revision === undefined) {
+        const askedAt = readMoment(clock);
         const listed = await listAll(store, prefix);
         revision = listed.revision;
         setReachable(true);
@@ -120,6 +135,7 @@
         lists += 1;
         failures = 0;
         onSnapshot(listed.items);
+        onComplete(askedAt);
       }
       if (isWatchOptional && !feed.isWatcher()) {
         await pause.wait(computeBackoffMs(lists, random(), { firstMs: FIRST_RELIST_MS }), signal);
@@ -128,7 +144,9 @@
       }
       // The pause is deducted from the watch timeout, so that the store responds often enough for the
       // leader to count its watch as current.
-      const watched = await store.watch(prefix, revision, watchTimeoutMs - pausedMs, signal);
+      const askedAt = readMoment(clock);
+      const waitMs = watchTimeoutMs - pausedMs;
+      const watched = await store.watch(prefix, revision, waitMs, signal);
       pausedMs = 0;
       failures = 0;
       setReachable(true);
@@ -139,6 +157,7 @@
         continue;
       }
       if (watched.changes.length > 0) onChanges(watched.changes);
+      onComplete(computeCompleteAsOf(askedAt, readMoment(clock), waitMs, watched.changes.length));
       revision = watched.revision;
       if (watched.changes.length === 0) continue;
       pausedMs = pauseMs;
--- a/src/serving/watchPrefix/test.ts
+++ b/src/serving/watchPrefix/test.ts
@@ -8,6 +8,7 @@
 const buildOptions = (store: FleetStore, signal: AbortSignal) => ({
   store,
   prefix: 'servers/',
+  clock: { monotonicMs: () => performance.now(), wallMs: () => Date.now() },
   log: { info: () => undefined, warn: () => undefined, error: () => undefined },
   signal,
   watchTimeoutMs: 1000,
--- a/src/serving/watchServers/index.ts
+++ b/src/serving/watchServers/index.ts
@@ -3,6 +3,7 @@
 import type { FleetStore, StoreChange } from '../../ports/fleetStore.js';
 import type { Log } from '../../ports/log.js';
 import type { BackendServer } from '../../ports/serving.js';
+import type { ListAge } from '../createListAge/index.js';
 import type { StoreOutage } from '../createStoreOutage/index.js';
 import { watchPrefix, type LeaderFeed } from '../watchPrefix/index.js';
 
@@ -24,6 +25,8 @@
   onServers: (servers: ReadonlyMap<string, BackendServer>) => void;
   /** Called after each successful response of the store. */
   onStoreResponse: () => void;
+  /** Told up to which moment the servers are known. */
+  listAge: ListAge;
   feed: LeaderFeed;
   /** Shared by all tasks of the host that watch the store. */
   outage: StoreOutage;
@@ -104,6 +107,7 @@
   void watchPrefix({
     store,
     prefix,
+    clock,
     log,
     signal,
     watchTimeoutMs: options.watchTimeoutMs,
@@ -125,6 +129,7 @@
       else hadOutage = true;
     },
     onStoreResponse: options.onStoreResponse,
+    onComplete: options.listAge.recordComplete,
     feed: options.feed,
     outage: options.outage,
   });
--- a/src/serving/watchServers/test.ts
+++ b/src/serving/watchServers/test.ts
@@ -62,6 +62,7 @@
         known = [...servers.keys()];
       },
       onStoreResponse: () => undefined,
+      listAge: { recordComplete: () => undefined, getAgeMs: () => 0 },
       outage: createStoreOutage(),
       feed: {
         isFeedActive: () => isFeedActive,
