Reproduce late news of servers that leave after an outage of the store

What callers saw: requests at servers 69 and 148 ms after they had to be dropped. Two unit tests show the two causes alone: a task sleeps through the return of the store that another task of its host has seen, and one failed call makes a host hold each leave back for two seconds.

--- a/src/serving/createFleetMember/_lib/createReportLog.ts
+++ b/src/serving/createFleetMember/_lib/createReportLog.ts
@@ -10,9 +10,7 @@
    * Returns the moment up to which the servers in a view are complete: the leader built it after it
    * had received the report that it names. Undefined where the view or the report does not tell.
    */
-  findCompleteAsOf: (
-    view: Pick<FleetView, 'reportNumber' | 'serversAgeMs'>,
-  ) => Moment | undefined;
+  findCompleteAsOf: (view: Pick<FleetView, 'reportNumber' | 'serversAgeMs'>) => Moment | undefined;
 }
 
 const MAX_REPORTS = 32; // six seconds of rounds; a view that refers to an older one tells nothing
--- a/src/serving/watchPrefix/index.ts
+++ b/src/serving/watchPrefix/index.ts
@@ -63,7 +63,12 @@
  * Computes up to which moment the response to a watch tells of all changes: the store holds back one
  * without changes for the whole wait, and may have sent any other at once.
  */
-function computeCompleteAsOf(askedAt: Moment, now: Moment, waitMs: number, changes: number): Moment {
+function computeCompleteAsOf(
+  askedAt: Moment,
+  now: Moment,
+  waitMs: number,
+  changes: number,
+): Moment {
   const wasHeldBack = changes === 0 && computeElapsedMs(askedAt, now) >= waitMs;
   return wasHeldBack ? addMilliseconds(askedAt, waitMs) : askedAt;
 }
@@ -90,8 +95,17 @@
  * watches would each be woken by every change.
  */
 export async function watchPrefix(options: WatchPrefixOptions): Promise<void> {
-  const { store, prefix, clock, log, signal, watchTimeoutMs, pauseMs, random, onReachabilityChange } =
-    options;
+  const {
+    store,
+    prefix,
+    clock,
+    log,
+    signal,
+    watchTimeoutMs,
+    pauseMs,
+    random,
+    onReachabilityChange,
+  } = options;
   const { onSnapshot, onChanges, feed, isWatchOptional = false, pause = createPause() } = options;
   const { outage, onComplete = () => undefined } = options;
   let revision: number | undefined;
--- a/src/serving/watchPrefix/test.ts
+++ b/src/serving/watchPrefix/test.ts
@@ -69,3 +69,38 @@
   });
   t.ok(performance.now() - startedAtMs < MAX_FIRST_RETRY_MS);
 });
+
+t.test(
+  'a task that backs off reads the store once another task of the host was answered',
+  async (t) => {
+    let isAvailable = false;
+    let calls = 0;
+    const store = {
+      list: () => {
+        calls += 1;
+        return isAvailable
+          ? Promise.resolve({ items: [], revision: 7, hasMore: false })
+          : Promise.reject(new Error('status 503'));
+      },
+      watch: () => new Promise(() => undefined),
+    } as unknown as FleetStore;
+    const stop = new AbortController();
+    t.teardown(() => stop.abort());
+    const outage = createStoreOutage();
+    const read = new Promise<void>((resolve) => {
+      void watchPrefix({
+        ...buildOptions(store, stop.signal),
+        random: () => 0.999, // the longest backoffs
+        onSnapshot: () => resolve(),
+        outage,
+      });
+    });
+    while (calls < 3) await new Promise((resolve) => setTimeout(resolve, 10));
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    isAvailable = true;
+    const answeredAtMs = performance.now();
+    outage.recordResponse();
+    await read;
+    t.ok(performance.now() - answeredAtMs < MAX_FIRST_RETRY_MS);
+  },
+);
--- a/src/serving/watchServers/test.ts
+++ b/src/serving/watchServers/test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { createListAge } from '../createListAge/index.js';
 import { createStoreOutage } from '../createStoreOutage/index.js';
 import type { BackendServer } from '../../ports/serving.js';
 import type { FleetStore, StoreChange } from '../../ports/fleetStore.js';
@@ -88,3 +89,63 @@
     t.strictSame(known, ['c1']);
   },
 );
+
+t.test('drops a server that leaves just after a single call to the store has failed', async (t) => {
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  let failures = 0;
+  let changes: StoreChange[] = [];
+  let revision = 1;
+  const store = {
+    list: () =>
+      Promise.resolve({
+        items: [{ key: 'servers/c1', value: Buffer.from('{}'), revision: 1, lease: 0 }],
+        hasMore: false,
+        revision,
+      }),
+    watch: async () => {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      if (failures === 1) {
+        failures += 1;
+        throw new Error('read ECONNRESET');
+      }
+      const result = { changes, revision };
+      changes = [];
+      return result;
+    },
+  } as unknown as FleetStore;
+  const clock = { monotonicMs: () => performance.now(), wallMs: () => performance.now() };
+  let known: string[] = [];
+  let lists = 0;
+  watchServers({
+    store,
+    prefix: 'servers/',
+    clock,
+    log: silentLog,
+    signal: stop.signal,
+    random: () => 0,
+    watchTimeoutMs: 50,
+    batchDelayMs: 1,
+    decode: buildServer,
+    onServers: (servers) => {
+      known = [...servers.keys()];
+      lists += 1;
+    },
+    onStoreResponse: () => undefined,
+    listAge: createListAge(clock),
+    outage: createStoreOutage(),
+    feed: {
+      isFeedActive: () => false,
+      waitUntilFeedEnds: () => Promise.resolve(),
+      isWatcher: () => true,
+    },
+  });
+  while (lists === 0) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  failures = 1;
+  while (failures === 1) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  revision += 1;
+  changes = [{ key: 'servers/c1', revision, lease: 0 }];
+  await new Promise((resolve) => setTimeout(resolve, 300));
+  t.strictSame(known, []);
+});
