Hold back the removal of a server only where it may have lapsed in an outage

Cause: any failed call, also a single reset of a kept connection, made a host hold each removal back for two seconds, counted from its own next answer and checked every 500 ms. Now a removal is held back only if the list was older than two renewals when the store answered, which is the least after which an entry can lapse, and until two seconds after the first answer to any call of the host. A call that was sent into an outage and fails after it does not prolong it. In the first test of watchServers the outage lasts five seconds on its own clock now, as 100 ms are no reason any more to expect a server again; it also checks that the server is still known before it is announced.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -70,6 +70,8 @@
   gracePeriodMs: number;
   /** Time within which a change in the store must be in force on all hosts. */
   maximumStalenessMs: number;
+  /** Time between two renewals of the registration of a backend server. */
+  registrationIntervalMs: number;
   /** Longest body of a response that is no stream. */
   maximumResponseBytes: number;
   /** Whether the whole fleet starts for the first time, before callers come. */
@@ -262,6 +264,7 @@
     },
     onStoreResponse: () => fleetMember.recordStoreResponse(StoreWatch.servers),
     listAge,
+    registrationIntervalMs: settings.registrationIntervalMs,
     feed: fleetMember.feeds.changes,
     outage,
   });
--- a/src/serving/createStoreOutage/index.ts
+++ b/src/serving/createStoreOutage/index.ts
@@ -1,18 +1,27 @@
 import type { Pause } from '../../common/createPause.js';
 import type { Clock } from '../../ports/clock.js';
 
+/** A call that was not answered. */
+export interface FailedCall {
+  task: string;
+  /** Monotonic time at which it was sent. */
+  askedAtMs: number;
+  /** Whether the task leaves further tries to another one that fails as well. */
+  mayWaitForOthers: boolean;
+}
+
 /** What the tasks of one host that call the store know of its reachability together. */
 export interface StoreOutage {
   /**
    * Records a failed call; tells whether this task tries for all of its host, so that others may wait
    * for it. A task that may not wait for others always does.
    */
-  recordFailure: (task: string, mayWaitForOthers: boolean) => boolean;
+  recordFailure: (call: FailedCall) => boolean;
   /** Waits for the milliseconds, at most until the store has answered any call of this host. */
   waitForEnd: (pause: Pause, milliseconds: number, signal: AbortSignal) => Promise<void>;
   /** Records that the store answered a call. */
   recordResponse: () => void;
-  /** Whether the last call has failed. */
+  /** Whether a call has failed that was sent after the last answer. */
   isFailing: () => boolean;
   /** Monotonic time of the first answer after the last failed calls; -Infinity when none has failed. */
   getReturnedAtMs: () => number;
@@ -38,10 +47,12 @@
   const waiting = new Set<Pause>();
   let triedBy: string | undefined;
   let isFailing = false;
+  let answeredAtMs = -Infinity;
   let returnedAtMs = -Infinity;
   return {
-    recordFailure: (task, mayWaitForOthers) => {
-      isFailing = true;
+    recordFailure: ({ task, askedAtMs, mayWaitForOthers }) => {
+      // A call that was sent into an outage may fail after the end of it.
+      isFailing ||= askedAtMs >= answeredAtMs;
       if (!mayWaitForOthers) triedBy = task;
       triedBy ??= task;
       return triedBy === task;
@@ -55,7 +66,8 @@
     },
     recordResponse: () => {
       triedBy = undefined;
-      if (isFailing) returnedAtMs = clock.monotonicMs();
+      answeredAtMs = clock.monotonicMs();
+      if (isFailing) returnedAtMs = answeredAtMs;
       isFailing = false;
       for (const pause of [...waiting]) pause.end();
     },
--- a/src/serving/createStoreOutage/test.ts
+++ b/src/serving/createStoreOutage/test.ts
@@ -4,28 +4,34 @@
 
 const { signal } = new AbortController();
 
+const failCall = (task: string, mayWaitForOthers: boolean, askedAtMs = Infinity) => ({
+  task,
+  askedAtMs,
+  mayWaitForOthers,
+});
+
 t.test('one task tries again for all of its host', (t) => {
   const outage = createStoreOutage();
-  t.ok(outage.recordFailure('op/', true));
-  t.notOk(outage.recordFailure('fleet/', true));
-  t.ok(outage.recordFailure('op/', true), 'its second try');
+  t.ok(outage.recordFailure(failCall('op/', true)));
+  t.notOk(outage.recordFailure(failCall('fleet/', true)));
+  t.ok(outage.recordFailure(failCall('op/', true)), 'its second try');
   outage.recordResponse();
-  t.ok(outage.recordFailure('fleet/', true), 'the next outage');
+  t.ok(outage.recordFailure(failCall('fleet/', true)), 'the next outage');
   t.end();
 });
 
 t.test('a task that does not wait for others tries for all', (t) => {
   const outage = createStoreOutage();
-  t.ok(outage.recordFailure('op/', true));
-  t.ok(outage.recordFailure('servers/', false));
-  t.notOk(outage.recordFailure('op/', true));
+  t.ok(outage.recordFailure(failCall('op/', true)));
+  t.ok(outage.recordFailure(failCall('servers/', false)));
+  t.notOk(outage.recordFailure(failCall('op/', true)));
   t.end();
 });
 
 t.test('all tasks go on as soon as the store answers one of them', async (t) => {
   const outage = createStoreOutage();
-  outage.recordFailure('servers/', false);
-  outage.recordFailure('op/', true);
+  outage.recordFailure(failCall('servers/', false));
+  outage.recordFailure(failCall('op/', true));
   let ended = 0;
   const waits = [Infinity, 60_000].map((milliseconds) =>
     outage.waitForEnd(createPause(), milliseconds, signal).then(() => {
@@ -40,10 +46,10 @@
 
 t.test('another task tries when the first one has not been answered for long', async (t) => {
   const outage = createStoreOutage({ maximumWaitMs: 10 });
-  outage.recordFailure('servers/', true);
-  t.notOk(outage.recordFailure('op/', true));
+  outage.recordFailure(failCall('servers/', true));
+  t.notOk(outage.recordFailure(failCall('op/', true)));
   await outage.waitForEnd(createPause(), Infinity, signal);
-  t.ok(outage.recordFailure('op/', true));
+  t.ok(outage.recordFailure(failCall('op/', true)));
 });
 
 t.test('the return of the store is its first answer after failed calls', (t) => {
@@ -51,7 +57,7 @@
   const outage = createStoreOutage({ clock: { monotonicMs: () => nowMs } });
   outage.recordResponse();
   t.equal(outage.getReturnedAtMs(), -Infinity);
-  outage.recordFailure('servers/', false);
+  outage.recordFailure(failCall('servers/', false));
   t.ok(outage.isFailing());
   nowMs = 900;
   outage.recordResponse();
@@ -61,3 +67,17 @@
   t.equal(outage.getReturnedAtMs(), 900);
   t.end();
 });
+
+t.test('a call that was sent into the outage does not prolong it', (t) => {
+  let nowMs = 100;
+  const outage = createStoreOutage({ clock: { monotonicMs: () => nowMs } });
+  outage.recordFailure(failCall('servers/', false, nowMs));
+  nowMs = 900;
+  outage.recordResponse();
+  nowMs = 1500;
+  outage.recordFailure(failCall('op/', true, 800));
+  t.notOk(outage.isFailing());
+  outage.recordResponse();
+  t.equal(outage.getReturnedAtMs(), 900);
+  t.end();
+});
--- a/src/serving/watchPrefix/index.ts
+++ b/src/serving/watchPrefix/index.ts
@@ -46,9 +46,7 @@
   onSnapshot: (items: StoreItem[]) => void;
   /** Called with the changes since the snapshot or the previous call. */
   onChanges: (changes: StoreChange[]) => void;
-  /** Called when the store becomes unreachable or reachable. */
-  onReachabilityChange?: (isReachable: boolean) => void;
-  /** Called after each successful response of the store. */
+  /** Called after each successful response of the store, before what it tells is passed on. */
   onStoreResponse?: () => void;
   /** Called with the moment up to which all changes are known, after these were passed on. */
   onComplete?: (asOf: Moment) => void;
@@ -101,17 +99,7 @@
  * watches would each be woken by every change.
  */
 export async function watchPrefix(options: WatchPrefixOptions): Promise<void> {
-  const {
-    store,
-    prefix,
-    clock,
-    log,
-    signal,
-    watchTimeoutMs,
-    pauseMs,
-    random,
-    onReachabilityChange,
-  } = options;
+  const { store, prefix, clock, log, signal, watchTimeoutMs, pauseMs, random } = options;
   const { onSnapshot, onChanges, feed, isWatchOptional = false, pause = createPause() } = options;
   const { outage, onComplete = () => undefined } = options;
   const { mayWaitForOthers = false, maximumBackoffMs = 2000 } = options;
@@ -123,7 +111,6 @@
     isReachable = next;
     if (next) log.info({ prefix, revision }, 'store reachable');
     else log.warn({ prefix, revision, error: formatError(error) }, 'store unreachable');
-    onReachabilityChange?.(next);
   };
   let isFollowingFeed = false;
   let pausedMs = 0;
@@ -138,7 +125,11 @@
     );
   };
   const waitForRetry = async (askedAt: Moment): Promise<void> => {
-    const isTrying = outage.recordFailure(prefix, mayWaitForOthers);
+    const isTrying = outage.recordFailure({
+      task: prefix,
+      askedAtMs: askedAt.monotonicMs,
+      mayWaitForOthers,
+    });
     if (failures === 1) {
       await pause.wait(random() * MAX_FIRST_RETRY_MS, signal);
       return;
--- a/src/serving/watchPrefix/test.ts
+++ b/src/serving/watchPrefix/test.ts
@@ -34,7 +34,7 @@
   } as unknown as FleetStore;
   const stop = new AbortController();
   const outage = createStoreOutage();
-  outage.recordFailure('another/', true);
+  outage.recordFailure({ task: 'another/', askedAtMs: 0, mayWaitForOthers: true });
   void watchPrefix({ ...buildOptions(store, stop.signal), mayWaitForOthers, outage });
   await new Promise((resolve) => setTimeout(resolve, 1200));
   stop.abort();
--- a/src/serving/watchServers/index.ts
+++ b/src/serving/watchServers/index.ts
@@ -27,6 +27,8 @@
   onServers: (servers: ReadonlyMap<string, BackendServer>) => void;
   /** Called after each successful response of the store. */
   onStoreResponse: () => void;
+  /** Time between two renewals of a registration. */
+  registrationIntervalMs: number;
   /** Told up to which moment the servers are known. */
   listAge: ListAge;
   feed: LeaderFeed;
@@ -40,24 +42,41 @@
   applyLeaderChanges: (changed: readonly BackendServer[], removed: readonly string[]) => void;
 }
 
-const EXPIRY_CHECK_INTERVAL_MS = 500;
+const EXPIRY_CHECK_INTERVAL_MS = 100;
 /** Time after a store outage within which servers whose leases expired register again. */
 export const REREGISTRATION_MS = 2000;
+/** A registration lapses after three missed renewals, of which one may have been due already. */
+const LAPSE_INTERVALS = 2;
 
 /**
- * Watches the registrations of backend servers. Servers whose registrations expire around a store
- * outage are kept until they have had time to register again.
+ * Watches the registrations of backend servers. Servers whose registrations may have lapsed in a
+ * store outage are kept until they have had time to register again since its end.
  */
 export function watchServers(options: WatchServersOptions): WatchedServers {
-  const { store, prefix, clock, log, signal, decode, onServers } = options;
+  const { store, prefix, clock, log, signal, decode, onServers, listAge, outage } = options;
   const servers = new Map<string, BackendServer>();
-  /** Servers whose registration expired during a store outage or just after it. */
+  /** Servers whose registration was removed during a store outage or just after it. */
   const expired = new Set<string>();
-  let reachableSinceMs = -Infinity;
-  let hadOutage = false;
+  /** Until when a server whose registration is missing may register again. */
+  let awaitedUntilMs = -Infinity;
+  let expiryTimer: NodeJS.Timeout | undefined;
 
-  const isAwaitingReregistration = (): boolean =>
-    hadOutage && clock.monotonicMs() - reachableSinceMs < REREGISTRATION_MS;
+  const isAwaitingReregistration = (): boolean => clock.monotonicMs() < awaitedUntilMs;
+
+  /** Recognises the end of an outage that was long enough for registrations to lapse. */
+  const checkForOutage = (): void => {
+    const ageMs = listAge.getAgeMs();
+    if (!Number.isFinite(ageMs) || ageMs < LAPSE_INTERVALS * options.registrationIntervalMs) return;
+    const nowMs = clock.monotonicMs();
+    const returnedAtMs = outage.getReturnedAtMs();
+    // A host that was paused has seen no call fail.
+    const endedAtMs = returnedAtMs > nowMs - ageMs ? returnedAtMs : nowMs;
+    awaitedUntilMs = endedAtMs + REREGISTRATION_MS;
+    log.info(
+      { ageMs: Math.round(ageMs), awaitedMs: Math.round(awaitedUntilMs - nowMs) },
+      'list of servers was outdated, missing servers may register again',
+    );
+  };
 
   const setServer = (server: BackendServer, revision: number, source: string): void => {
     const { id, service, incarnation } = server;
@@ -76,7 +95,7 @@
     const id = key.slice(prefix.length);
     expired.delete(id);
     if (value === undefined) {
-      if (isAwaitingReregistration()) expired.add(id);
+      if (isAwaitingReregistration()) holdBack(id);
       else if (servers.delete(id)) log.info({ server: id, revision }, 'server deregistered');
       return;
     }
@@ -91,8 +110,16 @@
     }
   };
 
+  const holdBack = (id: string): void => {
+    expired.add(id);
+    expiryTimer ??= setInterval(removeExpired, EXPIRY_CHECK_INTERVAL_MS);
+  };
+
   const removeExpired = (): void => {
-    if (expired.size === 0 || isAwaitingReregistration()) return;
+    if (isAwaitingReregistration()) return;
+    clearInterval(expiryTimer);
+    expiryTimer = undefined;
+    if (expired.size === 0) return;
     for (const id of expired) {
       servers.delete(id);
       log.info(
@@ -103,7 +130,6 @@
     expired.clear();
     onServers(servers);
   };
-  const expiryTimer = setInterval(removeExpired, EXPIRY_CHECK_INTERVAL_MS);
   signal.addEventListener('abort', () => clearInterval(expiryTimer), { once: true });
 
   void watchPrefix({
@@ -127,14 +153,13 @@
       for (const change of changes) apply(change);
       onServers(servers);
     },
-    onReachabilityChange: (isReachable) => {
-      if (isReachable) reachableSinceMs = clock.monotonicMs();
-      else hadOutage = true;
+    onStoreResponse: () => {
+      checkForOutage();
+      options.onStoreResponse();
     },
-    onStoreResponse: options.onStoreResponse,
-    onComplete: options.listAge.recordComplete,
+    onComplete: listAge.recordComplete,
     feed: options.feed,
-    outage: options.outage,
+    outage,
   });
   return {
     applyLeaderChanges: (changed, removed) => {
--- a/src/serving/watchServers/test.ts
+++ b/src/serving/watchServers/test.ts
@@ -1,4 +1,4 @@
-import t from 'tap';
+import t, { type Test } from 'tap';
 import { createListAge } from '../createListAge/index.js';
 import { createStoreOutage } from '../createStoreOutage/index.js';
 import type { BackendServer } from '../../ports/serving.js';
@@ -6,6 +6,7 @@
 import { watchServers } from './index.js';
 
 const POLL_MS = 5;
+const REGISTRATION_INTERVAL_MS = 1200;
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
 
 function buildServer(id: string): BackendServer {
@@ -32,6 +33,7 @@
     let isReachable = true;
     let changes: StoreChange[] = [];
     const value = Buffer.from('{}');
+    const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
     const store = {
       list: () =>
         Promise.resolve({
@@ -52,7 +54,7 @@
     const watched = watchServers({
       store,
       prefix: 'servers/',
-      clock: { monotonicMs: () => nowMs, wallMs: () => nowMs },
+      clock,
       log: silentLog,
       signal: stop.signal,
       random: () => 0,
@@ -64,8 +66,9 @@
         known = [...servers.keys()];
       },
       onStoreResponse: () => undefined,
-      listAge: { recordComplete: () => undefined, getAgeMs: () => 0 },
-      outage: createStoreOutage(),
+      listAge: createListAge(clock),
+      registrationIntervalMs: REGISTRATION_INTERVAL_MS,
+      outage: createStoreOutage({ clock }),
       feed: {
         isFeedActive: () => isFeedActive,
         waitUntilFeedEnds: () => new Promise(() => undefined),
@@ -77,11 +80,13 @@
     };
     await waitFor(() => known.includes('c1'));
     isReachable = false;
+    nowMs = 5000;
     await new Promise((resolve) => setTimeout(resolve, 100));
     revision += 1;
     changes = [{ key: 'servers/c1', revision, lease: 0 }];
     isReachable = true;
     await waitFor(() => changes.length === 0);
+    t.strictSame(known, ['c1'], 'may register again');
     isFeedActive = true;
     await new Promise((resolve) => setTimeout(resolve, 50));
     watched.applyLeaderChanges([buildServer('c1')], []);
@@ -91,12 +96,16 @@
   },
 );
 
-t.test('drops a server that leaves just after a single call to the store has failed', async (t) => {
+/** Opens a watch on a store with one server, of which each answer can be held up. */
+function openWatch(t: Test) {
   const stop = new AbortController();
   t.teardown(() => stop.abort());
-  let failures = 0;
+  const now = { ms: 0 };
+  const clock = { monotonicMs: () => now.ms, wallMs: () => now.ms };
+  const outage = createStoreOutage({ clock });
   let changes: StoreChange[] = [];
   let revision = 1;
+  let answer = (): Promise<void> => Promise.resolve();
   const store = {
     list: () =>
       Promise.resolve({
@@ -106,16 +115,12 @@
       }),
     watch: async () => {
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-      if (failures === 1) {
-        failures += 1;
-        throw new Error('read ECONNRESET');
-      }
+      await answer();
       const result = { changes, revision };
       changes = [];
       return result;
     },
   } as unknown as FleetStore;
-  const clock = { monotonicMs: () => performance.now(), wallMs: () => performance.now() };
   let known: string[] = [];
   let lists = 0;
   watchServers({
@@ -125,8 +130,8 @@
     log: silentLog,
     signal: stop.signal,
     random: () => 0,
-    watchTimeoutMs: 50,
-    maximumBackoffMs: 1000,
+    watchTimeoutMs: POLL_MS,
+    maximumBackoffMs: 10,
     batchDelayMs: 1,
     decode: buildServer,
     onServers: (servers) => {
@@ -135,19 +140,69 @@
     },
     onStoreResponse: () => undefined,
     listAge: createListAge(clock),
-    outage: createStoreOutage(),
+    registrationIntervalMs: REGISTRATION_INTERVAL_MS,
+    outage,
     feed: {
       isFeedActive: () => false,
       waitUntilFeedEnds: () => Promise.resolve(),
       isWatcher: () => true,
     },
   });
-  while (lists === 0) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-  failures = 1;
-  while (failures === 1) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-  await new Promise((resolve) => setTimeout(resolve, 100));
-  revision += 1;
-  changes = [{ key: 'servers/c1', revision, lease: 0 }];
+  return {
+    now,
+    outage,
+    getKnown: () => known,
+    countLists: () => lists,
+    setAnswer: (next: () => Promise<void>) => {
+      answer = next;
+    },
+    removeServer: () => {
+      revision += 1;
+      changes = [{ key: 'servers/c1', revision, lease: 0 }];
+    },
+  };
+}
+
+const waitUntil = async (isDone: () => boolean): Promise<void> => {
+  while (!isDone()) await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+};
+
+t.test('drops a server that leaves just after a single call to the store has failed', async (t) => {
+  const watch = openWatch(t);
+  await waitUntil(() => watch.countLists() > 0);
+  let failures = 0;
+  watch.setAnswer(() => {
+    failures += 1;
+    return failures === 1 ? Promise.reject(new Error('read ECONNRESET')) : Promise.resolve();
+  });
+  await waitUntil(() => failures > 2);
+  watch.removeServer();
   await new Promise((resolve) => setTimeout(resolve, 300));
-  t.strictSame(known, []);
+  t.strictSame(watch.getKnown(), []);
 });
+
+t.test(
+  'lets servers register again from the return of the store, not from the next list',
+  async (t) => {
+    const watch = openWatch(t);
+    await waitUntil(() => watch.countLists() > 0);
+    let isAvailable = false;
+    let failures = 0;
+    watch.setAnswer(() => {
+      if (isAvailable) return Promise.resolve();
+      failures += 1;
+      return Promise.reject(new Error('status 503'));
+    });
+    await waitUntil(() => failures > 0);
+    watch.now.ms = 5000;
+    watch.outage.recordResponse();
+    watch.now.ms = 6500;
+    watch.removeServer();
+    isAvailable = true;
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    t.strictSame(watch.getKnown(), ['c1'], 'two seconds after the return have not passed');
+    watch.now.ms = 7001;
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    t.strictSame(watch.getKnown(), []);
+  },
+);
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -192,6 +192,7 @@
     graceSeconds: 6,
     configurationDelayMs: maximumStalenessMs,
     drainingDelayMs: maximumStalenessMs,
+    registrationIntervalMs: 500,
     firstStart: 'true',
     maximumResponseBytes: MAX_RESPONSE_BYTES,
     logLinesPerSecond: 1,
