Act on the age of the list of servers rather than on a sum of limits

Cause: a host relied on its list as long as views arrived, whatever these knew, and the limits of computeFreshnessLimits add up to the users' limit only if a store, a leader and a link keep to assumed times. Now the feed of the servers ends for a host whose list is 0.7 s short of the limit, whichever way the news fails to come: it reads the store itself. In a calm fleet no call is added: a current list is 0.6 s + 0.4 s old at the most with a limit of 2 s, and 1.5 s + 0.4 s with 4 s (tests of computeFreshnessLimits).

--- a/src/decisions/leadership/computeFreshnessLimits/index.ts
+++ b/src/decisions/leadership/computeFreshnessLimits/index.ts
@@ -8,6 +8,8 @@
   outdatedFeedMs: number;
   /** Pause after a watch of the servers that returned changes, so that changes are batched. */
   serverBatchDelayMs: number;
+  /** Age of its list of servers at which a host reads the store itself, whatever the leader sends. */
+  maximumListAgeMs: number;
   /** Mean of the longest time between two tries to read a store that does not answer. */
   maximumBackoffMs: number;
 }
@@ -16,6 +18,8 @@
 export const RESPONSE_MARGIN_MS = 300;
 /** A view that is under way, the timer that notices the end of the feed, and a read by a slow host. */
 export const FEED_END_MARGIN_MS = 1100;
+/** The timer that notices the age, a read that fails and the next one. */
+const OWN_READ_MARGIN_MS = 700;
 const MIN_WATCH_TIMEOUT_MS = 500;
 const WATCH_FRACTION = 0.25;
 const FEED_FRACTION = 0.65;
@@ -43,6 +47,7 @@
       0,
       maximumStalenessMs - watchTimeoutMs - RESPONSE_MARGIN_MS - FEED_END_MARGIN_MS,
     ),
+    maximumListAgeMs: maximumStalenessMs - OWN_READ_MARGIN_MS,
     maximumBackoffMs: BACKOFF_FRACTION * maximumStalenessMs,
     serverBatchDelayMs: Math.min(MAX_SERVER_BATCH_DELAY_MS, WATCH_FRACTION * maximumStalenessMs),
   };
--- a/src/decisions/leadership/computeFreshnessLimits/test.ts
+++ b/src/decisions/leadership/computeFreshnessLimits/test.ts
@@ -36,3 +36,23 @@
   t.ok(long.serverBatchDelayMs > short.serverBatchDelayMs);
   t.end();
 });
+
+t.test(
+  'leaves a host whose list is too old the time for a read that fails and another one',
+  (t) => {
+    for (const limitMs of LIMITS_MS) {
+      const { maximumListAgeMs } = computeFreshnessLimits(limitMs);
+      t.ok(maximumListAgeMs + VIEW_INTERVAL_MS + RESPONSE_MARGIN_MS <= limitMs);
+    }
+    t.end();
+  },
+);
+
+t.test('a list that the leader keeps current is not too old', (t) => {
+  for (const limitMs of LIMITS_MS) {
+    const { maximumListAgeMs, watchTimeoutMs } = computeFreshnessLimits(limitMs);
+    // A view answers a report of the last round and is followed by the next one.
+    t.ok(watchTimeoutMs + 2 * VIEW_INTERVAL_MS + RESPONSE_MARGIN_MS <= maximumListAgeMs);
+  }
+  t.end();
+});
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -1,91 +1,25 @@
 import { randomUUID } from 'node:crypto';
 import { formatError } from '../../../errors/index.js';
-import type { Clock } from '../../../ports/clock.js';
-import type { FleetStore } from '../../../ports/fleetStore.js';
-import type { Log } from '../../../ports/log.js';
-import type { ModelOrderClient } from '../../../ports/modelOrderClient.js';
-import type {
-  BackendClient,
-  BackendServer,
-  CallerListener,
-  CallerResponse,
-  ServingConfiguration,
-  ServingRequest,
-} from '../../../ports/serving.js';
+import type { BackendServer, ServingConfiguration } from '../../../ports/serving.js';
 import { computeFreshnessLimits } from '../../../decisions/leadership/computeFreshnessLimits/index.js';
 import { createFleetMember } from '../../../serving/createFleetMember/index.js';
 import { StoreWatch } from '../../../serving/createFleetMember/types.js';
 import { createOrganisationRateLimiter } from '../../../serving/createOrganisationRateLimiter/index.js';
 import { createServiceRetryBudget } from '../../../serving/createServiceRetryBudget/index.js';
 import { createStoreOutage } from '../../../serving/createStoreOutage/index.js';
-import type { ServerNotices } from '../../../serving/createServerNotices/index.js';
+import { createPause } from '../../../common/createPause.js';
+import { createListRefresh } from '../../../serving/createListRefresh/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
 import { watchServers } from '../../../serving/watchServers/index.js';
 import { maintainMembership, type Membership } from '../../../serving/maintainMembership/index.js';
 import { serveRequest } from '../../../serving/serveRequest/index.js';
-import type { ServingMetrics } from '../../../serving/createServingMetrics/index.js';
 import type { ServingContext } from '../../../serving/types.js';
+import type { FleetEntry, FleetEntryOptions } from './types.js';
 import { runPlannedStop } from './_lib/runPlannedStop.js';
 
-/** Options of a fleet host: its identity, the adapters of its ports and the settings of the deployment. */
-export interface FleetEntryOptions {
-  host: string;
-  dataCentre: string;
-  address: string;
-  peerPort: number;
-  /** Bandwidth of this host's network link in Mbit/s. */
-  linkMbps: number;
-  clock: Clock;
-  log: Log;
-  random: () => number;
-  metrics: ServingMetrics;
-  store: FleetStore;
-  backendClient: BackendClient;
-  orders: ModelOrderClient;
-  /** What servers say of themselves in the responses that `backendClient` and `orders` receive. */
-  serverNotices: ServerNotices;
-  /** Creates the server to which callers connect. */
-  createCallerListener: (
-    serve: (request: ServingRequest, response: CallerResponse) => void,
-  ) => CallerListener;
-  /** Store key and watched prefix of the configuration, and the decoder of its value. */
-  configuration: { key: string; prefix: string; decode: (value: Buffer) => ServingConfiguration };
-  /** Store prefix of the registered backend servers, and the decoder of their values. */
-  servers: { prefix: string; decode: (id: string, value: Buffer) => BackendServer };
-  settings: DeploymentSettings;
-}
-
-/** Settings of a deployment. */
-export interface DeploymentSettings {
-  /** Retries allowed per request. */
-  retryRatio: number;
-  /** Additional retries allowed per window. */
-  fixedRetries: number;
-  retryWindowMs: number;
-  /** Time after a change of leader until orders of the previous one can no longer take effect. */
-  handoverMs: number;
-  /** Maximum duration of a planned stop. */
-  gracePeriodMs: number;
-  /** Time within which a change in the store must be in force on all hosts. */
-  maximumStalenessMs: number;
-  /** Time between two renewals of the registration of a backend server. */
-  registrationIntervalMs: number;
-  /** Longest body of a response that is no stream. */
-  maximumResponseBytes: number;
-  /** Whether the whole fleet starts for the first time, before callers come. */
-  isFirstStart: boolean;
-}
-
-/** A running fleet host. */
-export interface FleetEntry {
-  callerPort: number;
-  /** Whether the host has a configuration and the list of backend servers, and is not stopping. */
-  isReady: () => boolean;
-  /** Leaves the fleet and drains: lets active requests finish until shortly before the grace period ends. */
-  stop: () => Promise<void>;
-}
+export type * from './types.js';
 
 /** Engines get no orders until the lease of a failed leader has expired. */
 const LEADER_TTL_MS = 2000;
@@ -111,7 +45,8 @@
       Math.max(serverNotices.getPauseMs(id), fleetMember.requestLimiter.getWaitMs(id)),
   });
   const freshness = computeFreshnessLimits(settings.maximumStalenessMs);
-  const listAge = createListAge(clock);
+  const listAge = createListAge(clock, { onComplete: () => listRefresh.recordRead() });
+  const outage = createStoreOutage({ clock });
   const rateLimiter = createOrganisationRateLimiter({ clock });
   const retryBudget = createServiceRetryBudget({
     clock,
@@ -164,6 +99,16 @@
     onConfiguration: (value) => applyConfiguration(Buffer.from(value), 'peer'),
     onServers: (changed, removed) => serverWatch.applyLeaderChanges(changed, removed),
   });
+  const serversPause = createPause();
+  const listRefresh = createListRefresh({
+    listAge,
+    outage,
+    maximumAgeMs: settings.maximumStalenessMs,
+    requestRead: () => {
+      fleetMember.feeds.resumeWaiters();
+      serversPause.end();
+    },
+  });
   const context: ServingContext = {
     clock,
     log,
@@ -180,6 +125,7 @@
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
+    refreshServers: listRefresh.refresh,
     maximumResponseBytes: settings.maximumResponseBytes,
     getLastSendAtMs: () => lastSendAtMs,
   };
@@ -195,7 +141,6 @@
   const peerPort = await fleetMember.listen(options.address, options.peerPort);
   const callerPort = await callerListener.listen();
 
-  const outage = createStoreOutage({ clock });
   const membership = maintainMembership({
     store,
     clock,
@@ -265,7 +210,8 @@
     onStoreResponse: () => fleetMember.recordStoreResponse(StoreWatch.servers),
     listAge,
     registrationIntervalMs: settings.registrationIntervalMs,
-    feed: fleetMember.feeds.changes,
+    feed: fleetMember.feeds.servers,
+    pause: serversPause,
     outage,
   });
   log.info({ incarnation, address: options.address, peerPort, callerPort }, 'started');
--- a/src/serving/createFleetMember/_lib/createLeaderFeeds.ts
+++ b/src/serving/createFleetMember/_lib/createLeaderFeeds.ts
@@ -3,8 +3,10 @@
 
 /** The feeds by which this host learns from the leader what it would otherwise read from the store. */
 export interface LeaderFeeds {
-  /** Feed of the configuration and of the servers. */
+  /** Feed of the configuration. */
   changes: LeaderFeed;
+  /** Feed of the servers; ends as well when the list of servers has become too old. */
+  servers: LeaderFeed;
   /** Feed of the leadership; never active on a standby. */
   leadership: LeaderFeed;
   /** Milliseconds since the last view; Infinity before the first one. */
@@ -26,6 +28,10 @@
   feedTimeoutMs: number;
   /** Time without a view of a leader with current watches after which a feed ends. */
   outdatedFeedMs: number;
+  /** Age of the list of servers from which this host reads it itself. */
+  maximumListAgeMs: number;
+  /** Milliseconds since the list of servers was complete. */
+  getListAgeMs: () => number;
   /** Time after the start during which a feed counts as active, as a leader may connect any moment. */
   startGraceMs: number;
   /** The same for the leadership; 0 on a host that is to run for leader at once. */
@@ -35,6 +41,7 @@
 /** Creates the feeds of a host that has just started. */
 export function createLeaderFeeds(options: LeaderFeedsOptions): LeaderFeeds {
   const { clock, feedTimeoutMs, outdatedFeedMs, startGraceMs, leadershipGraceMs } = options;
+  const { maximumListAgeMs, getListAgeMs } = options;
   const startedAtMs = clock.monotonicMs();
   const waiters = new Set<{ isFeedActive: () => boolean; resume: () => void }>();
   let isLeading = false;
@@ -77,6 +84,10 @@
       () => isFed() || isStarting(startGraceMs),
       () => isLeading,
     ),
+    servers: createFeed(
+      () => (isFed() && getListAgeMs() < maximumListAgeMs) || isStarting(startGraceMs),
+      () => isLeading,
+    ),
     leadership: createFeed(
       () => !isStandby && (isFed() || isStarting(leadershipGraceMs)),
       () => isLeading || isStandby,
--- a/src/serving/createFleetMember/_lib/test.ts
+++ b/src/serving/createFleetMember/_lib/test.ts
@@ -11,14 +11,21 @@
 
 function openFeeds() {
   let nowMs = 0;
+  let listAgeMs = 0;
   const feeds = createLeaderFeeds({
     clock: { monotonicMs: () => nowMs, wallMs: () => nowMs },
     feedTimeoutMs: 2000,
     outdatedFeedMs: 1000,
+    maximumListAgeMs: 1300,
+    getListAgeMs: () => listAgeMs,
     startGraceMs: 1500,
     leadershipGraceMs: 0,
   });
-  return { feeds, setNowMs: (next: number) => (nowMs = next) };
+  return {
+    feeds,
+    setNowMs: (next: number) => (nowMs = next),
+    setListAgeMs: (next: number) => (listAgeMs = next),
+  };
 }
 
 t.test('a starting host waits for a leader before it reads the store', (t) => {
@@ -170,3 +177,20 @@
   t.equal(reports.findCompleteAsOf({ reportNumber: number, serversAgeMs: 300 }), undefined);
   t.end();
 });
+
+t.test(
+  'a host whose list of servers is too old reads it itself, although views arrive',
+  async (t) => {
+    const { feeds, setListAgeMs } = openFeeds();
+    feeds.recordView(CURRENT_VIEW);
+    const ended = feeds.servers.waitUntilFeedEnds();
+    setListAgeMs(1200);
+    feeds.recordView(CURRENT_VIEW);
+    t.ok(feeds.servers.isFeedActive());
+    setListAgeMs(1400);
+    feeds.recordView(CURRENT_VIEW);
+    t.notOk(feeds.servers.isFeedActive());
+    t.ok(feeds.changes.isFeedActive(), 'the configuration is not concerned');
+    await ended;
+  },
+);
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -41,6 +41,7 @@
   const feeds = createLeaderFeeds({
     clock,
     ...options.freshness,
+    getListAgeMs: options.listAge.getAgeMs,
     startGraceMs: graces.changesMs,
     leadershipGraceMs: graces.leadershipMs,
   });
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -43,7 +43,7 @@
   setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   /** What the leader passes on, so that this host need not read it from the store. */
-  feeds: Pick<LeaderFeeds, 'changes' | 'leadership'>;
+  feeds: Pick<LeaderFeeds, 'changes' | 'servers' | 'leadership' | 'resumeWaiters'>;
   /** Records that the store responded to a call of a watch. */
   recordStoreResponse: (watch: StoreWatch) => void;
   close: () => void;
--- a/src/serving/createListAge/index.ts
+++ b/src/serving/createListAge/index.ts
@@ -9,8 +9,11 @@
   getAgeMs: () => number;
 }
 
-/** Creates the age of a list that was never read. */
-export function createListAge(clock: Clock): ListAge {
+/** Creates the age of a list that was never read; `onComplete` is called with each `recordComplete`. */
+export function createListAge(
+  clock: Clock,
+  { onComplete = () => undefined }: { onComplete?: () => void } = {},
+): ListAge {
   let completeAsOf: Moment | undefined;
   const getAgeMs = (): number =>
     completeAsOf === undefined
@@ -19,6 +22,7 @@
   return {
     recordComplete: (asOf) => {
       if (computeElapsedMs(asOf, readMoment(clock)) < getAgeMs()) completeAsOf = asOf;
+      onComplete();
     },
     getAgeMs,
   };
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -205,6 +205,7 @@
   const { request, response } = state;
   for (;;) {
     if (await refuseQuarantined(state)) return;
+    await state.context.refreshServers(response.signal);
     const selection = await chooseServer(state);
     if (response.signal.aborted) {
       recordCompletion(state, 0, 'caller left');
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -91,6 +91,8 @@
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
+  /** Settles when this host's list of servers may be chosen from; at once unless it is too old. */
+  refreshServers: (signal: AbortSignal) => Promise<void>;
   /** Milliseconds since this host's list of servers is known to have been complete. */
   getServersAgeMs: () => number;
   /**
--- a/src/serving/watchServers/index.ts
+++ b/src/serving/watchServers/index.ts
@@ -1,3 +1,4 @@
+import type { Pause } from '../../common/createPause.js';
 import type { Clock } from '../../ports/clock.js';
 import { formatError } from '../../errors/index.js';
 import type { FleetStore, StoreChange } from '../../ports/fleetStore.js';
@@ -32,6 +33,8 @@
   /** Told up to which moment the servers are known. */
   listAge: ListAge;
   feed: LeaderFeed;
+  /** Ending it makes the next call to the store at once. */
+  pause: Pause;
   /** Shared by all tasks of the host that watch the store. */
   outage: StoreOutage;
 }
@@ -159,6 +162,7 @@
     },
     onComplete: listAge.recordComplete,
     feed: options.feed,
+    pause: options.pause,
     outage,
   });
   return {
--- a/src/serving/watchServers/test.ts
+++ b/src/serving/watchServers/test.ts
@@ -1,4 +1,5 @@
 import t, { type Test } from 'tap';
+import { createPause } from '../../common/createPause.js';
 import { createListAge } from '../createListAge/index.js';
 import { createStoreOutage } from '../createStoreOutage/index.js';
 import type { BackendServer } from '../../ports/serving.js';
@@ -69,6 +70,7 @@
       listAge: createListAge(clock),
       registrationIntervalMs: REGISTRATION_INTERVAL_MS,
       outage: createStoreOutage({ clock }),
+      pause: createPause(),
       feed: {
         isFeedActive: () => isFeedActive,
         waitUntilFeedEnds: () => new Promise(() => undefined),
@@ -142,6 +144,7 @@
     listAge: createListAge(clock),
     registrationIntervalMs: REGISTRATION_INTERVAL_MS,
     outage,
+    pause: createPause(),
     feed: {
       isFeedActive: () => false,
       waitUntilFeedEnds: () => Promise.resolve(),
