Pass a leave on ahead of the batch and of the next round

Part of the cause: a leader paused for half a second after each change of a server before it read the next one, and a host learned of it with the next round, so that 0.7 s of the limit were gone before anything failed, and a leader that failed in that time took the news with it. A leader sends its views at once when a server begins to leave or is gone. The pause never makes a watch answer later than its timeout. The times of the leader's watches move to a file of their own.

--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -1,6 +1,6 @@
 import { chooseStandbys } from '../../decisions/leadership/chooseStandbys/index.js';
 import { computeStartGraces } from '../../decisions/leadership/computeStartGraces/index.js';
-import { isEveryWatchCurrent } from '../../decisions/leadership/isEveryWatchCurrent/index.js';
+import { isLeaveAdded } from '../../decisions/serving/isLeaveAdded/index.js';
 import { formatError } from '../../errors/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 import { createFleetTransport, type FleetConnection } from '../createFleetTransport/index.js';
@@ -14,7 +14,7 @@
 } from '../fleetMessages.js';
 import { decodeRequestLimits, encodeRequestLimits } from '../requestLimitMessages.js';
 import { startFleetLeader, type FleetLeader } from '../startFleetLeader/index.js';
-import { StoreWatch, type FleetMember, type FleetMemberOptions } from './types.js';
+import type { FleetMember, FleetMemberOptions } from './types.js';
 import { decodeConfigurationValue } from './_lib/configurationValue.js';
 import { createConfigurationExchange } from './_lib/createConfigurationExchange.js';
 import { computeOtherHostsLoads } from './_lib/computeOtherHostsLoads.js';
@@ -26,6 +26,7 @@
 import { createPlacementClient } from './_lib/createPlacementClient.js';
 import { createReportLog } from './_lib/createReportLog.js';
 import { createRequestLimiter } from './_lib/createRequestLimiter.js';
+import { createWatchTimes } from './_lib/createWatchTimes.js';
 import { createUsageTracker, encodeLoads } from './_lib/createUsageTracker.js';
 
 const ROUND_INTERVAL_MS = 200; // older loads make hosts misroute a burst; see docs/platform.md
@@ -47,7 +48,7 @@
   });
   /** When models that are being loaded are expected to be ready, by `SERVICE/MODEL`. */
   let modelReadyAtMs: ReadonlyMap<string, number> = new Map();
-  const storeResponseAtMs = new Map<StoreWatch, number>();
+  const watchTimes = createWatchTimes(clock, options.freshness.watchTimeoutMs);
   let registeredHosts: readonly string[] = [];
   /** When the hosts of earlier lists were last seen registered. */
   const lastRegisteredAtMs = new Map<string, number>();
@@ -174,11 +175,6 @@
   const countHosts = (): number =>
     Math.max(1, connections.size + 1, options.membership().listHosts().length);
 
-  const resetStoreResponses = (): void => {
-    for (const watch of Object.values(StoreWatch)) storeResponseAtMs.set(watch, -Infinity);
-  };
-  resetStoreResponses();
-
   const runRound = (): void => {
     feeds.resumeWaiters();
     const report = buildReport();
@@ -189,14 +185,7 @@
     leader.recordReport(report);
     const registered = options.membership().listHosts();
     leader.setRegisteredHosts(registered.map(({ name }) => name));
-    const buildView = leader.prepareViews(
-      countHosts(),
-      isEveryWatchCurrent(
-        [...storeResponseAtMs.values()],
-        options.freshness.watchTimeoutMs,
-        clock.monotonicMs(),
-      ),
-    );
+    const buildView = leader.prepareViews(countHosts(), watchTimes.isEveryCurrent());
     const standbys = chooseStandbys(registered.filter(({ name }) => connections.has(name)));
     for (const [name, connection] of connections)
       connection.send({ ...buildView(name), isStandby: standbys.has(name) });
@@ -253,7 +242,7 @@
       leader = undefined;
       options.metrics.setLeading(fence !== undefined);
       feeds.setLeading(fence !== undefined);
-      resetStoreResponses();
+      watchTimes.reset();
       quarantine.evidence.resetReported();
       if (fence !== undefined) {
         leader = startFleetLeader({
@@ -278,12 +267,15 @@
       leader?.setConfiguration(next);
     },
     setServers: (next) => {
+      const isUrgent = leader !== undefined && isLeaveAdded(servers, next);
       servers = next;
       leader?.setServers(next);
+      // The other hosts go on sending requests to a server until they know that it leaves.
+      if (isUrgent) runRound();
     },
     recordModelUse: (server, name, change) => usage.recordUse(`${server}/${name}`, change),
     feeds,
-    recordStoreResponse: (watch) => void storeResponseAtMs.set(watch, clock.monotonicMs()),
+    recordStoreResponse: watchTimes.record,
     close: () => {
       clearInterval(roundTimer);
       admissionUpdates.close();
--- a/src/serving/watchPrefix/index.ts
+++ b/src/serving/watchPrefix/index.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { computeBatchPause } from '../../decisions/leadership/computeBatchPause/index.js';
 import { computeBackoffMs } from '../../decisions/leadership/computeBackoffMs/index.js';
 import { createPause, type Pause } from '../../common/createPause.js';
 import { isAborted } from '../../common/isAborted.js';
@@ -28,7 +29,7 @@
   signal: AbortSignal;
   /** Timeout of one watch. */
   watchTimeoutMs: number;
-  /** Pause after a watch that returned changes, so that frequent changes are batched. */
+  /** Interval in which frequent changes are batched; a change that comes alone is not delayed. */
   pauseMs: number;
   random: () => number;
   /** Whether a host on which no other depends repeats the list instead of watching; false by default. */
@@ -114,6 +115,7 @@
   };
   let isFollowingFeed = false;
   let pausedMs = 0;
+  let batchUsedUntilMs = -Infinity;
   let failures = 0;
   let lists = 0;
   const setFollowingFeed = (next: boolean): void => {
@@ -186,8 +188,13 @@
       onComplete(computeCompleteAsOf(askedAt, readMoment(clock), waitMs, watched.changes.length));
       revision = watched.revision;
       if (watched.changes.length === 0) continue;
-      pausedMs = pauseMs;
-      await sleep(pauseMs, undefined, { signal });
+      const batch = computeBatchPause(batchUsedUntilMs, clock.monotonicMs(), pauseMs);
+      batchUsedUntilMs = batch.usedUntilMs;
+      pausedMs = Math.min(
+        batch.pauseMs,
+        Math.max(0, watchTimeoutMs - computeElapsedMs(askedAt, readMoment(clock))),
+      );
+      await sleep(pausedMs, undefined, { signal });
     } catch (error) {
       if (isAborted(signal)) return;
       setReachable(false, error);
