Ask the store to wait for whole milliseconds

Since the pause after a watch depends on the clock, the wait of the next one had a fraction, which no timeout takes: each watch after a change failed, and hosts kept the list that they had at the start. The test failed before.

--- a/src/serving/watchPrefix/index.ts
+++ b/src/serving/watchPrefix/index.ts
@@ -190,10 +190,9 @@
       if (watched.changes.length === 0) continue;
       const batch = computeBatchPause(batchUsedUntilMs, clock.monotonicMs(), pauseMs);
       batchUsedUntilMs = batch.usedUntilMs;
-      pausedMs = Math.min(
-        batch.pauseMs,
-        Math.max(0, watchTimeoutMs - computeElapsedMs(askedAt, readMoment(clock))),
-      );
+      const untilTimeoutMs = watchTimeoutMs - computeElapsedMs(askedAt, readMoment(clock));
+      // The store takes whole milliseconds.
+      pausedMs = Math.floor(Math.min(batch.pauseMs, Math.max(0, untilTimeoutMs)));
       await sleep(pausedMs, undefined, { signal });
     } catch (error) {
       if (isAborted(signal)) return;
--- a/src/serving/watchPrefix/test.ts
+++ b/src/serving/watchPrefix/test.ts
@@ -104,3 +104,20 @@
     t.ok(performance.now() - answeredAtMs < MAX_FIRST_RETRY_MS);
   },
 );
+
+t.test('the store is asked to wait for whole milliseconds, also after a pause', async (t) => {
+  const waits: number[] = [];
+  const store = {
+    list: () => Promise.resolve({ items: [], revision: 7, hasMore: false }),
+    watch: (_: string, after: number, waitMs: number) => {
+      waits.push(waitMs);
+      const change = { key: 'servers/c1', revision: after + 1, lease: 0 };
+      return Promise.resolve({ changes: [change], revision: after + 1 });
+    },
+  } as unknown as FleetStore;
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  void watchPrefix({ ...buildOptions(store, stop.signal), outage: createStoreOutage() });
+  while (waits.length < 4) await new Promise((resolve) => setTimeout(resolve, 10));
+  t.ok(waits.every(Number.isInteger), waits.join());
+});
