Send a host all servers once, so that it drops those removed in between

Cause: a host that had read the store itself and then followed a leader was sent changes only. A server that the leader had dropped before its first view to that host was in no change, so that the host kept it until it read the store again, or until its own grace had passed. Now the first view with a current list holds all servers, and says so; what the host knows beyond them is gone. A leader that has not read the list sends none as all. Ruled out: the grace for lapsed registrations, whose end the host reached in time in the log. Two tests, which failed before in that there was no such view. Costs no message.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -97,7 +97,7 @@
     listAge,
     membership: (): Membership => membership,
     onConfiguration: (value) => applyConfiguration(Buffer.from(value), 'peer'),
-    onServers: (changed, removed) => serverWatch.applyLeaderChanges(changed, removed),
+    onServers: (changes) => serverWatch.applyLeaderChanges(changes),
   });
   const serversPause = createPause();
   const listRefresh = createListRefresh({
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -112,8 +112,7 @@
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
     );
     if (leader === undefined) {
-      if (view.servers.length + view.removed.length > 0)
-        options.onServers(view.servers, view.removed);
+      if (view.isSnapshot || view.servers.length + view.removed.length > 0) options.onServers(view);
       const asOf = reports.findCompleteAsOf(view);
       if (asOf !== undefined) options.listAge.recordComplete(asOf);
     }
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -8,6 +8,7 @@
 import type { ServerNotices } from '../createServerNotices/index.js';
 import type { ServerRegistry } from '../createServerRegistry/index.js';
 import type { ListAge } from '../createListAge/index.js';
+import type { LeaderChanges } from '../watchServers/index.js';
 import type { FleetHost, Membership } from '../maintainMembership/index.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
 import type {
@@ -73,5 +74,5 @@
   /** Called with a configuration that a peer has sent. */
   onConfiguration: (value: Uint8Array) => void;
   /** Called with changes of the registered servers that the leader has sent. */
-  onServers: (changed: readonly BackendServer[], removed: readonly string[]) => void;
+  onServers: (changes: LeaderChanges) => void;
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -118,6 +118,8 @@
     /** Servers that changed, and ids of servers that were deregistered, since the last view. */
     servers: z.array(server),
     removed: z.array(name),
+    /** Whether `servers` are all servers there are; absent in older versions. */
+    isSnapshot: z.boolean().default(false),
     /** Prompt parts seen in crashes and those in quarantine; only when they have changed. */
     quarantine: quarantine.optional(),
     /** Request limits of all servers; only when one has changed since the last view. */
--- a/src/serving/startFleetLeader/_lib/collectServerChanges.ts
+++ b/src/serving/startFleetLeader/_lib/collectServerChanges.ts
@@ -7,11 +7,32 @@
   return sent === server || (sent !== undefined && encode(sent) === encode(server));
 }
 
-/** Collects the servers that changed since the last view of a host, and marks them as sent. */
+/** Servers as they were last sent to a host. */
+export interface SentServers {
+  servers: Map<string, BackendServer>;
+  /** Whether the host was sent all servers at one time. */
+  hasSnapshot: boolean;
+}
+
+/** Creates the record of a host that was sent nothing. */
+export function createSentServers(): SentServers {
+  return { servers: new Map(), hasSnapshot: false };
+}
+
+/**
+ * Collects the servers that changed since the last view of a host, and marks them as sent. The first
+ * time that the servers are current it collects all of them: what the host knows beyond these, from its
+ * own reads or another leader, has been removed since.
+ */
 export function collectServerChanges(
-  sent: Map<string, BackendServer>,
+  sentServers: SentServers,
   servers: ReadonlyMap<string, BackendServer>,
-): Pick<FleetView, 'servers' | 'removed'> {
+  isCurrent: boolean,
+): Pick<FleetView, 'servers' | 'removed' | 'isSnapshot'> {
+  const { servers: sent } = sentServers;
+  const isSnapshot = isCurrent && !sentServers.hasSnapshot;
+  if (isSnapshot) sent.clear();
+  sentServers.hasSnapshot ||= isSnapshot;
   const removed = [...sent.keys()].filter((id) => !servers.has(id));
   for (const id of removed) sent.delete(id);
   const changed: FleetView['servers'] = [];
@@ -25,5 +46,5 @@
     delete sentServer.copies;
     changed.push(sentServer);
   }
-  return { servers: changed, removed };
+  return { servers: changed, removed, isSnapshot };
 }
--- a/src/serving/startFleetLeader/_lib/test.ts
+++ b/src/serving/startFleetLeader/_lib/test.ts
@@ -2,6 +2,7 @@
 import t from 'tap';
 import type { BackendServer, EnginePool } from '../../../ports/serving.js';
 import type { EngineController } from '../../createEngineController/index.js';
+import { collectServerChanges, createSentServers } from './collectServerChanges.js';
 import { createModelDemandMeter } from './createModelDemandMeter.js';
 import { createServerFaults } from './createServerFaults.js';
 import { createReplicaScheduler } from './createReplicaScheduler.js';
@@ -190,3 +191,22 @@
     t.end();
   },
 );
+
+t.test('a host is sent all servers once, as soon as they are current', (t) => {
+  const list = (...ids: string[]) =>
+    new Map(ids.map((id) => [id, createController(id, []).getServer()]));
+  const sent = createSentServers();
+  const outdated = collectServerChanges(sent, list('e1', 'e2'), false);
+  t.notOk(outdated.isSnapshot, 'a leader that has not read the list knows nothing of removals');
+  const first = collectServerChanges(sent, list('e1', 'e3'), true);
+  t.ok(first.isSnapshot);
+  t.strictSame(
+    first.servers.map(({ id }) => id),
+    ['e1', 'e3'],
+    'also those that were sent before',
+  );
+  const next = collectServerChanges(sent, list('e3'), true);
+  t.notOk(next.isSnapshot);
+  t.strictSame(next.removed, ['e1']);
+  t.end();
+});
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -7,7 +7,11 @@
 import { createModelDemandMeter } from './_lib/createModelDemandMeter.js';
 import { createPartQuarantine } from '../createPartQuarantine/index.js';
 import { createServerFaults } from './_lib/createServerFaults.js';
-import { collectServerChanges } from './_lib/collectServerChanges.js';
+import {
+  collectServerChanges,
+  createSentServers,
+  type SentServers,
+} from './_lib/collectServerChanges.js';
 import { createRequestSchedules } from './_lib/createRequestSchedules.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
@@ -23,8 +27,7 @@
   atMs: number;
   /** Adapters of each engine as last sent to the host. */
   sentAdapters: Map<string, string>;
-  /** Servers as last sent to the host. */
-  sentServers: Map<string, BackendServer>;
+  sentServers: SentServers;
 }
 
 const PLANNING_INTERVAL_MS = 300; // a few passes within the time of one load
@@ -145,7 +148,7 @@
         inUse: new Set(report.inUse),
         atMs: clock.monotonicMs(),
         sentAdapters: previous?.sentAdapters ?? new Map<string, string>(),
-        sentServers: previous?.sentServers ?? new Map<string, BackendServer>(),
+        sentServers: previous?.sentServers ?? createSentServers(),
       });
     },
     setRegisteredHosts: (registeredHosts) => {
@@ -166,8 +169,9 @@
     buildLevels: (host) => ({ type: 'levels', ...buckets.computeLevels(host) }),
     markLevelsSent: buckets.markLevelsSent,
     resetSentState: (host) => {
-      hosts.get(host)?.sentAdapters.clear();
-      hosts.get(host)?.sentServers.clear();
+      const state = hosts.get(host);
+      state?.sentAdapters.clear();
+      if (state !== undefined) state.sentServers = createSentServers();
       limitFeed.resetSent(host);
       quarantine.resetSent(host);
     },
@@ -210,10 +214,9 @@
           limits: limitFeed.takeLimits(host),
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
-          ...collectServerChanges(
-            state?.sentServers ?? new Map<string, BackendServer>(servers),
-            servers,
-          ),
+          ...(state === undefined
+            ? { servers: [], removed: [], isSnapshot: false }
+            : collectServerChanges(state.sentServers, servers, isCurrent)),
         };
       };
     },
--- a/src/serving/watchServers/index.ts
+++ b/src/serving/watchServers/index.ts
@@ -39,10 +39,20 @@
   outage: StoreOutage;
 }
 
+/** Server changes that a leader passes on. */
+export interface LeaderChanges {
+  /** Servers that have changed. */
+  servers: readonly BackendServer[];
+  /** Ids of servers that are gone. */
+  removed: readonly string[];
+  /** Whether `servers` are all servers there are. */
+  isSnapshot: boolean;
+}
+
 /** Handle of the watched servers. */
 export interface WatchedServers {
   /** Applies server changes that the leader passed on. */
-  applyLeaderChanges: (changed: readonly BackendServer[], removed: readonly string[]) => void;
+  applyLeaderChanges: (changes: LeaderChanges) => void;
 }
 
 const EXPIRY_CHECK_INTERVAL_MS = 100;
@@ -166,13 +176,17 @@
     outage,
   });
   return {
-    applyLeaderChanges: (changed, removed) => {
+    applyLeaderChanges: ({ servers: changed, removed, isSnapshot }) => {
       for (const server of changed) {
         expired.delete(server.id);
         setServer(server, 0, 'peer');
       }
-      for (const id of removed)
+      const listed = new Set(changed.map(({ id }) => id));
+      const missing = isSnapshot ? [...servers.keys()].filter((id) => !listed.has(id)) : [];
+      for (const id of [...removed, ...missing]) {
+        expired.delete(id);
         if (servers.delete(id)) log.info({ server: id, source: 'peer' }, 'server deregistered');
+      }
       onServers(servers);
     },
   };
--- a/src/serving/watchServers/test.ts
+++ b/src/serving/watchServers/test.ts
@@ -91,7 +91,7 @@
     t.strictSame(known, ['c1'], 'may register again');
     isFeedActive = true;
     await new Promise((resolve) => setTimeout(resolve, 50));
-    watched.applyLeaderChanges([buildServer('c1')], []);
+    watched.applyLeaderChanges({ servers: [buildServer('c1')], removed: [], isSnapshot: false });
     nowMs = 10_000;
     await new Promise((resolve) => setTimeout(resolve, 700));
     t.strictSame(known, ['c1']);
@@ -125,7 +125,7 @@
   } as unknown as FleetStore;
   let known: string[] = [];
   let lists = 0;
-  watchServers({
+  const watched = watchServers({
     store,
     prefix: 'servers/',
     clock,
@@ -153,6 +153,7 @@
   });
   return {
     now,
+    watched,
     outage,
     getKnown: () => known,
     countLists: () => lists,
@@ -209,3 +210,14 @@
     t.strictSame(watch.getKnown(), []);
   },
 );
+
+t.test('drops a server that a new leader does not list, whose removal came between', async (t) => {
+  const watch = openWatch(t);
+  await waitUntil(() => watch.countLists() > 0);
+  t.strictSame(watch.getKnown(), ['c1']);
+  const other = [buildServer('c2')];
+  watch.watched.applyLeaderChanges({ servers: other, removed: [], isSnapshot: false });
+  t.strictSame(watch.getKnown(), ['c1', 'c2'], 'of changes alone it cannot tell');
+  watch.watched.applyLeaderChanges({ servers: other, removed: [], isSnapshot: true });
+  t.strictSame(watch.getKnown(), ['c2']);
+});
