Reproduce what a store that comes back from a copy does

The stand-in of the store can take a copy, be restored from it in a new epoch with all numbers given out again, and have outside keys written again.

--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -161,8 +161,10 @@
   return Promise.all(responses);
 }
 
-/** Options of a host in a test. */
+/** Options of the hosts in a test, and of their store. */
 export interface TestHostOptions {
+  /** Epoch that the store names at first; none by default. */
+  storeEpoch?: number;
   /** Time within which a change in the store must be in force on all hosts; 2000 by default. */
   maximumStalenessMs?: number;
 }
@@ -212,7 +214,7 @@
   engines: readonly PlatformEngineOptions[],
   options: TestHostOptions = {},
 ): Promise<PlatformFleet> {
-  const store = await startPlatformStore();
+  const store = await startPlatformStore({ epoch: options.storeEpoch });
   store.put('op/config', buildConfiguration(1));
   const fleet: PlatformFleet = {
     store,
--- a/tests/support/platformStore.ts
+++ b/tests/support/platformStore.ts
@@ -32,6 +32,14 @@
   item?: StoredItem;
 }
 
+/** State of the store at one moment, from which it can be restored. */
+interface StoreCopy {
+  items: StoredItem[];
+  leases: { lease: number; ttlMs: number }[];
+  revision: number;
+  lastLeaseId: number;
+}
+
 /** A stand-in of the platform's key-value store; it speaks the store's HTTP protocol. */
 export interface PlatformStore {
   endpoint: { address: string; port: number };
@@ -41,6 +49,16 @@
   /** Discards the change history, so that clients have to list keys before they watch again. */
   compact: () => void;
   setMode: (mode: StoreMode) => void;
+  /** Keeps a copy of the present state for `restore`. */
+  takeCopy: () => void;
+  /**
+   * Goes back to the copy in a new epoch: revisions and leases are given out again. What was put since
+   * is put again by `rewrite`.
+   */
+  restore: () => void;
+  /** Puts and removes again what operators and servers have put and removed since the copy. */
+  rewrite: () => void;
+  getEpoch: () => number;
   countCalls: () => number;
   /** Counts the calls as they are billed: a renewed lease costs a tenth of another call. */
   countBilledCalls: () => number;
@@ -51,6 +69,8 @@
 
 /** Options of the stand-in. */
 export interface PlatformStoreOptions {
+  /** Epoch that the store names in its responses at first; it names none by default. */
+  epoch?: number;
   /** Transforms the text of an item when it is read. */
   transformValue?: (key: string, value: string) => string;
 }
@@ -79,6 +99,10 @@
   let compactedRevision = 0;
   let revision = 1;
   let lastLeaseId = 100;
+  let { epoch } = options;
+  let copy: StoreCopy | undefined;
+  /** What operators and servers have written last; undefined for a key that they have removed. */
+  const outsideValues = new Map<string, string | undefined>();
   let mode: StoreMode = StoreMode.normal;
   const callsByKind = new Map<string, number>();
 
@@ -111,6 +135,44 @@
     leases.set(lease, { timer: setTimeout(() => endLease(lease), ttlMs), ttlMs });
   };
 
+  const takeCopy = (): void => {
+    copy = {
+      items: [...items.values()],
+      leases: [...leases].map(([lease, { ttlMs }]) => ({ lease, ttlMs })),
+      revision,
+      lastLeaseId,
+    };
+    outsideValues.clear();
+  };
+  const restore = (): void => {
+    if (copy === undefined) throw new Error('the store has no copy to be restored from');
+    for (const { timer } of leases.values()) clearTimeout(timer);
+    leases.clear();
+    items.clear();
+    ({ revision, lastLeaseId } = copy);
+    for (const item of copy.items) items.set(item.key, item);
+    for (const { lease, ttlMs } of copy.leases) startLease(lease, ttlMs);
+    changes = [];
+    compactedRevision = revision;
+    epoch = (epoch ?? 0) + 1;
+    for (const notify of [...pendingWatches]) notify();
+  };
+  const putFromOutside = (key: string, value: string): void => {
+    outsideValues.set(key, value);
+    revision += 1;
+    put(key, value);
+  };
+  const removeFromOutside = (key: string): void => {
+    outsideValues.set(key, undefined);
+    revision += 1;
+    remove(key);
+  };
+  const rewrite = (): void => {
+    for (const [key, value] of [...outsideValues])
+      if (value === undefined) removeFromOutside(key);
+      else putFromOutside(key, value);
+  };
+
   const transact = (body: Record<string, unknown>): { status: number; body: unknown } => {
     const expect = body.expect as { key: string; revision: number }[];
     const writes = body.set_keys as { key: string; value: string; lease?: number }[];
@@ -130,6 +192,7 @@
   const watch = async (query: URLSearchParams): Promise<{ status: number; body: unknown }> => {
     const prefix = query.get('prefix') ?? '';
     const after = Number(query.get('after'));
+    const epochAtArrival = epoch;
     const findChanges = (): Change[] =>
       changes.filter((change) => change.revision > after && change.key.startsWith(prefix));
     if (findChanges().length === 0)
@@ -140,12 +203,12 @@
           resolve();
         };
         const notify = (): void => {
-          if (findChanges().length > 0) finish();
+          if (findChanges().length > 0 || epoch !== epochAtArrival) finish();
         };
         const timer = setTimeout(finish, Number(query.get('wait_ms')));
         pendingWatches.add(notify);
       });
-    if (after < compactedRevision) return { status: 410, body: {} };
+    if (after < compactedRevision || after > revision) return { status: 410, body: {} };
     const events = findChanges().map(({ key, revision: changeRevision, item }) =>
       item === undefined ? { key, revision: changeRevision, tombstone: true } : transformItem(item),
     );
@@ -188,7 +251,10 @@
   };
 
   const sendResponse = (response: ServerResponse, status: number, body: unknown): void => {
-    response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body));
+    const epochHeader = epoch === undefined ? {} : { 'store-era': String(epoch) };
+    response
+      .writeHead(status, { 'content-type': 'application/json', ...epochHeader })
+      .end(JSON.stringify(body));
   };
 
   const server = createServer((incoming, response) => {
@@ -221,16 +287,14 @@
   return {
     endpoint: { address: '127.0.0.1', port: (server.address() as AddressInfo).port },
     put: (key, value) => {
-      revision += 1;
-      put(
-        key,
-        Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64'),
-      );
-    },
-    remove: (key) => {
-      revision += 1;
-      remove(key);
+      const text = typeof value === 'string' ? value : JSON.stringify(value);
+      putFromOutside(key, Buffer.from(text).toString('base64'));
     },
+    remove: removeFromOutside,
+    takeCopy,
+    restore,
+    rewrite,
+    getEpoch: () => epoch ?? 0,
     read: (key) => {
       const item = items.get(key);
       return item === undefined
