Let the numbers of the store count within one epoch

Cause: nothing read how often the store had been restored, and every number that it gives out was used as if it were given out once: revisions as conditions, as positions of watches and as fencing tokens, and leases. Now the adapter reads the epoch, and createEpochStore encodes it into each revision: a revision that is given out again is another and higher number, so that a token never falls. Positions, conditions and leases of an earlier epoch end without a call; what was sent in one epoch and answered in another does not count; a watch that waits ends when any call shows the restore. A leadership ends with its epoch. The next leader waits for the handover unless it is the process that led until the restore, as the record of the last leader may be older than the last leader; the record names its epoch. What a leader writes also depends on a key that no other process writes, since a bare revision may recur before this host knows of the restore. A host that stops removes its entries instead of ending leases, whose numbers may be another host's. Ruled out: a record of the highest token in the store, which the copy has lost, or in the hosts, which a host that was cut off lacks.

--- a/src/errors/index.ts
+++ b/src/errors/index.ts
@@ -4,7 +4,12 @@
 export const BaseError = ModernError.subclass('BaseError');
 
 /** The key-value service did not respond, or not in time; a write may have taken effect. */
-export const KeyValueServiceError = BaseError.subclass('KeyValueServiceError');
+export const KeyValueServiceError = BaseError.subclass('KeyValueServiceError', {
+  props: {
+    /** Epoch of the store that a refusal names. */
+    epoch: undefined as number | undefined,
+  },
+});
 
 /** The platform's host list could not be read. */
 export const HostListError = BaseError.subclass('HostListError');
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -8,6 +8,7 @@
 import { createServiceRetryBudget } from '../../../serving/createServiceRetryBudget/index.js';
 import { createStoreOutage } from '../../../serving/createStoreOutage/index.js';
 import { createPause } from '../../../common/createPause.js';
+import { createEpochStore } from '../../../serving/createEpochStore/index.js';
 import { createListRefresh } from '../../../serving/createListRefresh/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
@@ -33,7 +34,8 @@
  * configuration and the list of backend servers.
  */
 export async function startFleetEntry(options: FleetEntryOptions): Promise<FleetEntry> {
-  const { host, clock, log, metrics, store, serverNotices, settings } = options;
+  const { host, clock, log, metrics, serverNotices, settings } = options;
+  const store = createEpochStore({ client: options.store, log });
   const incarnation = randomUUID();
   const stopping = new AbortController();
   const { signal } = stopping;
@@ -148,6 +150,7 @@
     random: options.random,
     self: { name: host, address: options.address, port: peerPort, linkMbps: options.linkMbps },
     incarnation,
+    isFirstStart: settings.isFirstStart,
     leaderTtlMs: LEADER_TTL_MS,
     registrationTtlMs: REGISTRATION_TTL_MS,
     handoverMs: settings.handoverMs,
--- a/src/programs/fleetEntry/startFleetEntry/types.ts
+++ b/src/programs/fleetEntry/startFleetEntry/types.ts
@@ -1,7 +1,7 @@
 import type { ServerNotices } from '../../../serving/createServerNotices/index.js';
 import type { ServingMetrics } from '../../../serving/createServingMetrics/index.js';
 import type { Clock } from '../../../ports/clock.js';
-import type { FleetStore } from '../../../ports/fleetStore.js';
+import type { StoreClient } from '../../../ports/fleetStore.js';
 import type { Log } from '../../../ports/log.js';
 import type { ModelOrderClient } from '../../../ports/modelOrderClient.js';
 import type {
@@ -25,7 +25,7 @@
   log: Log;
   random: () => number;
   metrics: ServingMetrics;
-  store: FleetStore;
+  store: StoreClient;
   backendClient: BackendClient;
   orders: ModelOrderClient;
   /** What servers say of themselves in the responses that `backendClient` and `orders` receive. */
--- a/src/serving/maintainMembership/_lib/fleetState.ts
+++ b/src/serving/maintainMembership/_lib/fleetState.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
-import type { StoreChange } from '../../../ports/fleetStore.js';
+import type { LastLeader } from '../../../decisions/leadership/mayOthersHaveOrders/index.js';
+import type { StoreChange, StoreCondition } from '../../../ports/fleetStore.js';
 import type { Log } from '../../../ports/log.js';
 import type { SavedPartGroup } from '../../types.js';
 
@@ -9,6 +10,8 @@
 export const HOSTS_PREFIX = `${FLEET_PREFIX}hosts/`;
 /** Key of the leader's entry, which is bound to a lease. */
 export const LEADER_KEY = `${FLEET_PREFIX}command`;
+/** Key prefix of one entry for each leading process, written and ended together with the leader's entry. */
+export const LEADERS_PREFIX = `${FLEET_PREFIX}leaders/`;
 /** Key of the last leader that may have sent orders; outlives the lease. */
 export const LAST_LEADER_KEY = `${FLEET_PREFIX}last-holder`;
 
@@ -42,8 +45,8 @@
     /** Lease that the entry ends with. */
     lease: number;
   };
-  /** Last host that may have sent orders, or empty; another leader waits for the handover. */
-  lastHolder: string;
+  /** Last host that may have sent orders; another leader waits for the handover. */
+  lastLeader: LastLeader;
   lastHolderRevision: number;
   /** Prompt parts in quarantine. */
   partGroups: readonly SavedPartGroup[];
@@ -51,6 +54,17 @@
   hasSnapshot: boolean;
 }
 
+/**
+ * Lists the conditions of what only the leader with a fencing token may write. No other process writes
+ * the second key, so that they cannot hold by chance on a revision that was given out twice.
+ */
+export function listLeadershipConditions(incarnation: string, fence: number): StoreCondition[] {
+  return [
+    { key: LEADER_KEY, revision: fence },
+    { key: LEADERS_PREFIX + incarnation, revision: fence },
+  ];
+}
+
 const hostSchema = z.object({
   address: z.string(),
   port: z.number(),
@@ -70,7 +84,11 @@
     wasServed: z.boolean(),
   }),
 );
-const lastLeaderSchema = z.object({ holder: z.string() });
+const lastLeaderSchema = z.object({
+  holder: z.string(),
+  /** Absent in older versions. */
+  epoch: z.number().default(0),
+});
 
 /** Applies one change of the fleet's keys; an invalid value is logged and ignored. */
 export function applyStoreChange(state: FleetState, change: StoreChange, log: Log): void {
@@ -81,7 +99,8 @@
       state.command =
         parsed === undefined ? undefined : { ...leaderSchema.parse(parsed), revision, lease };
     else if (key === LAST_LEADER_KEY) {
-      state.lastHolder = parsed === undefined ? '' : lastLeaderSchema.parse(parsed).holder;
+      state.lastLeader =
+        parsed === undefined ? { holder: '', epoch: 0 } : lastLeaderSchema.parse(parsed);
       state.lastHolderRevision = parsed === undefined ? 0 : revision;
     } else if (key === QUARANTINE_KEY)
       state.partGroups = parsed === undefined ? [] : partGroupsSchema.parse(parsed);
--- a/src/serving/maintainMembership/_lib/maintainRegistration.ts
+++ b/src/serving/maintainMembership/_lib/maintainRegistration.ts
@@ -3,7 +3,11 @@
 import { computeBackoffMs } from '../../../decisions/leadership/computeBackoffMs/index.js';
 import { formatError } from '../../../errors/index.js';
 import type { Clock } from '../../../ports/clock.js';
-import { TransactionResult, type FleetStore } from '../../../ports/fleetStore.js';
+import {
+  TransactionResult,
+  type FleetStore,
+  type StoreCondition,
+} from '../../../ports/fleetStore.js';
 import type { Log } from '../../../ports/log.js';
 import type { StoreOutage } from '../../createStoreOutage/index.js';
 import { createHeldLease } from './createHeldLease.js';
@@ -14,8 +18,12 @@
   isRegistered: () => boolean;
   /** Renews the entry at once, because the store does not list it. */
   renewNow: () => void;
-  /** Ends the registration; settles when the store has answered. */
-  leave: () => Promise<void>;
+  /** Registers again at a random moment within the milliseconds, as the store may have lost the entry. */
+  renewWithin: (spreadMs: number) => void;
+  /** Condition on this host's own entry; undefined while there is none. */
+  getCondition: () => StoreCondition | undefined;
+  /** Stops renewing the entry. */
+  leave: () => void;
 }
 
 /** Options of a registration. */
@@ -40,8 +48,10 @@
   const { store, clock, log, random, self, incarnation, ttlMs, signal } = options;
   const pause = createPause();
   let isRegistered = false;
+  let renewalTimer: NodeJS.Timeout | undefined;
   let registeredAtMs = -Infinity;
   let isLeaving = false;
+  let revision = 0;
   const lease = createHeldLease({
     store,
     clock,
@@ -54,19 +64,23 @@
     onStoreResponse: options.outage.recordResponse,
   });
 
+  const key = `${HOSTS_PREFIX}${self.name}`;
+
   const register = async (): Promise<void> => {
-    const { name, address, port, linkMbps } = self;
+    const { address, port, linkMbps } = self;
     const id = await lease.acquire();
     const value = JSON.stringify({ address, port, linkMbps, incarnation });
-    const { result } = await store.transact({
+    const { result, revision: written } = await store.transact({
       conditions: [],
-      writes: [{ key: `${HOSTS_PREFIX}${name}`, value, lease: id }],
+      writes: [{ key, value, lease: id }],
     });
     if (result === TransactionResult.leaseEnded) {
       lease.drop();
       throw new Error(`lease ${id} of the registration has ended`);
     }
+    if (result !== TransactionResult.done) throw new Error(`registration not stored: ${result}`);
     isRegistered = true;
+    revision = written;
     registeredAtMs = clock.monotonicMs();
     log.info({ lease: id, ttlMs }, 'host registered');
   };
@@ -97,14 +111,17 @@
       isRegistered = false;
       pause.end();
     },
-    leave: async () => {
+    renewWithin: (spreadMs) => {
+      lease.drop();
+      isRegistered = false;
+      clearTimeout(renewalTimer);
+      renewalTimer = setTimeout(pause.end, random() * spreadMs);
+    },
+    getCondition: () => (isRegistered ? { key, revision } : undefined),
+    leave: () => {
       isLeaving = true;
+      clearTimeout(renewalTimer);
       pause.end();
-      const id = lease.getId();
-      if (id === undefined) return;
-      await store.endLease(id).catch((error: unknown) => {
-        log.warn({ error: formatError(error) }, 'ending the lease failed, it will expire');
-      });
     },
   };
 }
--- a/src/serving/maintainMembership/_lib/writePartGroups.ts
+++ b/src/serving/maintainMembership/_lib/writePartGroups.ts
@@ -2,18 +2,18 @@
 import { TransactionResult, type FleetStore } from '../../../ports/fleetStore.js';
 import type { Log } from '../../../ports/log.js';
 import type { SavedPartGroup } from '../../types.js';
-import { LEADER_KEY, QUARANTINE_KEY } from './fleetState.js';
+import { listLeadershipConditions, QUARANTINE_KEY } from './fleetState.js';
 
 /** Stores the quarantined prompt parts under a leadership that still holds; returns whether it did. */
 export async function writePartGroups(
-  { store, log }: { store: FleetStore; log: Log },
+  { store, log, incarnation }: { store: FleetStore; log: Log; incarnation: string },
   fence: number | undefined,
   groups: readonly SavedPartGroup[],
 ): Promise<boolean> {
   if (fence === undefined) return false;
   try {
     const { result } = await store.transact({
-      conditions: [{ key: LEADER_KEY, revision: fence }],
+      conditions: listLeadershipConditions(incarnation, fence),
       writes: [{ key: QUARANTINE_KEY, value: JSON.stringify(groups) }],
     });
     return result === TransactionResult.done;
--- a/src/serving/maintainMembership/index.ts
+++ b/src/serving/maintainMembership/index.ts
@@ -3,17 +3,26 @@
 import { isAborted } from '../../common/isAborted.js';
 import { computeElectionDelayMs } from '../../decisions/leadership/computeElectionDelayMs/index.js';
 import { mayAcquireLeadership } from '../../decisions/leadership/mayAcquireLeadership/index.js';
+import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
 import { isLeaseValid } from '../../decisions/leadership/isLeaseValid/index.js';
 import { formatError } from '../../errors/index.js';
-import { TransactionResult, type StoreChange, type StoreItem } from '../../ports/fleetStore.js';
+import {
+  TransactionResult,
+  type StoreChange,
+  type StoreCondition,
+  type StoreItem,
+} from '../../ports/fleetStore.js';
 import { watchPrefix } from '../watchPrefix/index.js';
 import {
   applyStoreChange,
   LEADER_KEY,
+  LEADERS_PREFIX,
+  listLeadershipConditions,
   FLEET_PREFIX,
   LAST_LEADER_KEY,
   type FleetState,
 } from './_lib/fleetState.js';
+import { createHandover } from './_lib/createHandover.js';
 import { createHeldLease } from './_lib/createHeldLease.js';
 import { createPauseDetector } from './_lib/createPauseDetector.js';
 import { maintainRegistration } from './_lib/maintainRegistration.js';
@@ -29,24 +38,28 @@
 const WATCH_TIMEOUT_MS = 8000;
 const HANDOVER_RETRY_BACKOFF_MS = 300; // calls are billed even while the store is unavailable
 const MAX_ATTEMPT_INTERVALS = 4; // intervals of renewal between failed attempts to lead
+const RENEWAL_SPREAD_MS = 1000; // all hosts register again after the store was restored
 const RENEWALS_PER_LEASE = 4; // two lost renewals still leave LEASE_MARGIN_MS for orders
 
 /** Keeps this host registered, follows the other hosts, and runs for leader when nobody leads. */
 export function maintainMembership(options: MaintainMembershipOptions): Membership {
-  const { store, clock, log, random, self, incarnation, handoverMs, signal, feed } = options;
+  const { store, clock, log, random, self, incarnation, signal, feed } = options;
   const state: FleetState = {
     hosts: new Map(),
-    lastHolder: '',
+    lastLeader: { holder: '', epoch: 0 },
     lastHolderRevision: 0,
     partGroups: [],
     hasSnapshot: false,
   };
   const ownRecord = { holder: self.name, address: self.address, incarnation };
   const watchPause = createPause();
+  const handover = createHandover({ ...options, state });
   let fence: number | undefined;
   let isLeaving = false;
   let isElecting = false;
   let failedAttempts = 0;
+  /** Epoch of the last leadership of this process. */
+  let ledEpoch: number | undefined;
 
   const leaderLease = createHeldLease({
     store,
@@ -69,7 +82,7 @@
     if (next === undefined) pauses.stop();
     else pauses.start();
     log.info(
-      { fence, lastHolder: state.lastHolder },
+      { fence, lastLeader: state.lastLeader },
       next === undefined ? 'leadership lost' : 'leadership acquired',
     );
     options.onLeadershipChange(next);
@@ -88,27 +101,25 @@
       return;
     }
     if (fence === command.revision) return;
+    ledEpoch = decodeRevision(command.revision).epoch;
     setFencingToken(command.revision);
-    if (mayHaveOrdersInFlight(state.lastHolder)) void completeHandover(command.revision);
+    if (handover.isNeeded()) void completeHandover(command.revision);
   };
 
-  /** Tells whether orders of the given host may be in flight and are not this host's own. */
-  const mayHaveOrdersInFlight = (host: string): boolean => host !== '' && host !== self.name;
-
   /** Waits for the handover, then records this host as the one that sends orders. */
   const completeHandover = async (revision: number): Promise<void> => {
-    await wait(handoverMs, undefined, { signal }).catch(() => undefined);
-    while (fence === revision && mayHaveOrdersInFlight(state.lastHolder) && !isAborted(signal)) {
+    await wait(handover.computeWaitMs(), undefined, { signal }).catch(() => undefined);
+    while (fence === revision && handover.isNeeded() && !isAborted(signal)) {
       try {
         const { result } = await store.transact({
-          conditions: [{ key: LEADER_KEY, revision }],
-          writes: [{ key: LAST_LEADER_KEY, value: JSON.stringify({ holder: self.name }) }],
+          conditions: listLeadershipConditions(incarnation, revision),
+          writes: [{ key: LAST_LEADER_KEY, value: handover.encodeRecord() }],
         });
         if (result !== TransactionResult.done) {
           log.warn({ fence: revision, result }, 'handover not stored, leadership has changed');
           return;
         }
-        state.lastHolder = self.name;
+        state.lastLeader = { holder: self.name, epoch: store.getEpoch() };
         log.info({ fence: revision }, 'handover completed, orders may be sent');
       } catch (error) {
         log.warn({ fence: revision, error: formatError(error) }, 'handover not stored, retrying');
@@ -122,11 +133,18 @@
     state.hasSnapshot &&
     registration.isRegistered() &&
     !feed.isFeedActive() &&
-    mayAcquireLeadership(state.command, ownRecord);
+    (isOwnEntryOfCopy() || mayAcquireLeadership(state.command, ownRecord));
+
+  /** Whether the leader's entry is one of this process from before the store was restored. */
+  const isOwnEntryOfCopy = (): boolean =>
+    fence === undefined &&
+    state.command?.incarnation === incarnation &&
+    ledEpoch !== undefined &&
+    ledEpoch < decodeRevision(state.command.revision).epoch;
 
   const computeOwnElectionDelayMs = (): number => {
     // No handover is needed when this host leads again.
-    if (state.lastHolder === self.name) return 0;
+    if (state.lastLeader.holder === self.name || handover.isContinuing()) return 0;
     const revision = state.hosts.get(self.name)?.revision ?? 0;
     return computeElectionDelayMs({ ...self, revision }, [...state.hosts.values()], random());
   };
@@ -135,14 +153,15 @@
     await wait(computeOwnElectionDelayMs(), undefined, { signal });
     if (!mayRunForLeader()) return;
     const lease = await leaderLease.acquire();
-    const lastHolder = { key: LAST_LEADER_KEY, value: JSON.stringify({ holder: self.name }) };
+    const lastLeader = { key: LAST_LEADER_KEY, value: handover.encodeRecord() };
+    const ownEntry = { key: LEADERS_PREFIX + incarnation, value: '{}', lease };
     const entry = { key: LEADER_KEY, value: JSON.stringify(ownRecord), lease };
     const { result, revision } = await store.transact({
       conditions: [
         { key: LEADER_KEY, revision: state.command?.revision ?? 0 },
         { key: LAST_LEADER_KEY, revision: state.lastHolderRevision },
       ],
-      writes: [entry, ...(mayHaveOrdersInFlight(state.lastHolder) ? [] : [lastHolder])],
+      writes: [entry, ownEntry, ...(handover.isNeeded() ? [] : [lastLeader])],
     });
     if (result === TransactionResult.done) {
       applyStoreChange(state, { ...entry, value: Buffer.from(entry.value), revision }, log);
@@ -220,6 +239,8 @@
     onSnapshot: (items: StoreItem[]) => {
       state.hosts.clear();
       state.command = undefined;
+      state.lastLeader = { holder: '', epoch: 0 };
+      state.lastHolderRevision = 0;
       applyChanges(items);
     },
     onChanges: applyChanges,
@@ -227,6 +248,26 @@
     outage: options.outage,
   });
 
+  /** Removes entries of this process; their leases may be those of other hosts after a restore. */
+  const removeEntries = async (conditions: readonly StoreCondition[]): Promise<void> => {
+    if (conditions.length === 0) return;
+    const removals = conditions.map(({ key }) => key);
+    await store.transact({ conditions, writes: [], removals }).catch((error: unknown) => {
+      log.warn({ removals, error: formatError(error) }, 'entries not removed, they will expire');
+    });
+  };
+
+  store.onEpochChange((epoch) => {
+    const wasLeading = isLeadershipConfirmed();
+    handover.recordRestore(wasLeading ? ledEpoch : undefined);
+    log.warn({ epoch, wasLeading }, 'store was restored, joining the fleet again');
+    state.hasSnapshot = false;
+    leaderLease.drop();
+    setFencingToken(undefined);
+    registration.renewWithin(wasLeading ? 0 : RENEWAL_SPREAD_MS);
+    watchPause.end();
+  });
+
   const isLeadershipConfirmed = (): boolean => {
     const timing = leaderLease.getTiming();
     if (fence === undefined || timing === undefined) return false;
@@ -238,23 +279,18 @@
     listHosts: () => [...state.hosts.values()],
     isLeadershipConfirmed,
     confirmLeadership: async () => {
-      if (fence === undefined || mayHaveOrdersInFlight(state.lastHolder)) return false;
+      if (fence === undefined || handover.isNeeded()) return false;
       return isLeadershipConfirmed() || ((await leaderLease.renew()) && isLeadershipConfirmed());
     },
     writePartGroups: (groups) => writePartGroups(options, fence, groups),
     leave: async () => {
       isLeaving = true;
-      const lease = leaderLease.getId();
+      const leadership = fence === undefined ? [] : listLeadershipConditions(incarnation, fence);
+      const ownEntry = registration.getCondition();
       leaderLease.drop();
       setFencingToken(undefined);
-      await Promise.all([
-        registration.leave(),
-        lease === undefined
-          ? undefined
-          : store.endLease(lease).catch((error: unknown) => {
-              log.warn({ error: formatError(error) }, 'ending the lease failed, it will expire');
-            }),
-      ]);
+      registration.leave();
+      await Promise.all([leadership, ownEntry === undefined ? [] : [ownEntry]].map(removeEntries));
     },
   };
 }
--- a/src/serving/maintainMembership/test.ts
+++ b/src/serving/maintainMembership/test.ts
@@ -1,4 +1,6 @@
 import t from 'tap';
+import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
+import { encodeRevision } from '../../decisions/storeEpochs/encodeRevision/index.js';
 import { createStoreOutage } from '../createStoreOutage/index.js';
 import {
   TransactionResult,
@@ -6,6 +8,7 @@
   type StoreChange,
   type StoreItem,
 } from '../../ports/fleetStore.js';
+import { LAST_LEADER_KEY, listLeadershipConditions } from './_lib/fleetState.js';
 import { maintainMembership, type MaintainMembershipOptions } from './index.js';
 
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
@@ -16,6 +19,8 @@
   const items = new Map<string, StoreItem>();
   const changes: StoreChange[] = [];
   let revision = 1;
+  let epoch = 0;
+  const listeners: ((epoch: number) => void)[] = [];
   const put = (key: string, value: string, lease: number): void => {
     const item = { key, value: Buffer.from(value), revision, lease };
     items.set(key, item);
@@ -32,21 +37,32 @@
     list: () => Promise.resolve({ items: [...items.values()], hasMore: false, revision }),
     watch: async (_, after) => {
       await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      if (decodeRevision(after).epoch !== epoch) return undefined;
       return { changes: changes.filter((change) => change.revision > after), revision };
     },
-    transact: ({ conditions, writes }) => {
+    transact: ({ conditions, writes, removals = [] }) => {
       const isMet = conditions.every((row) => (items.get(row.key)?.revision ?? 0) === row.revision);
       if (!isMet) return Promise.resolve({ result: TransactionResult.conflict, revision: 0 });
       revision += 1;
       for (const { key, value, lease = 0 } of writes) put(key, value, lease);
+      for (const key of removals) if (items.delete(key)) changes.push({ key, revision, lease: 0 });
       return Promise.resolve({ result: TransactionResult.done, revision });
     },
     grantLease: () => Promise.resolve({ lease: (revision += 1), ttlMs: 60_000 }),
     renewLease: () => Promise.resolve(true),
-    endLease,
+    getEpoch: () => epoch,
+    onEpochChange: (listener) => void listeners.push(listener),
     close: () => Promise.resolve(),
   };
-  return { store, endLease, read: (key: string) => items.get(key) };
+  /** Ends all leases and drops the given keys, as a copy that is older than these; revisions rise. */
+  const restore = async (keys: readonly string[]): Promise<void> => {
+    epoch += 1;
+    revision = encodeRevision(epoch, 1);
+    for (const { lease } of [...items.values()]) if (lease !== 0) await endLease(lease);
+    for (const key of keys) items.delete(key);
+    for (const listener of listeners) listener(epoch);
+  };
+  return { store, endLease, restore, read: (key: string) => items.get(key) };
 }
 
 type Store = ReturnType<typeof createStore>;
@@ -65,6 +81,7 @@
     random: () => 0,
     self: { name, address: `address-${name}`, port: 1, linkMbps: 100 },
     incarnation: 'first',
+    isFirstStart: true,
     leaderTtlMs: 60_000,
     registrationTtlMs: 60_000,
     handoverMs: 5,
@@ -157,3 +174,60 @@
   await waitFor(() => weak.getFence() !== undefined || strong.getFence() !== undefined);
   t.equal(weak.getFence(), undefined);
 });
+
+t.test('the process that led until a restore goes on without a handover', async (t) => {
+  const fleet = createStore();
+  const first = openMembership(fleet, 'one', { handoverMs: 60_000 });
+  t.teardown(first.stop);
+  await waitFor(() => first.membership.confirmLeadership());
+  const before = first.getFence() ?? 0;
+  await fleet.restore([LAST_LEADER_KEY]);
+  t.equal(first.getFence(), undefined, 'the leadership ends with the epoch');
+  await waitFor(() => first.getFence() !== undefined);
+  t.ok((first.getFence() ?? 0) > before, 'with a higher fencing token');
+  t.ok(await first.membership.confirmLeadership());
+});
+
+t.test('another host waits for the handover after a restore, whatever the copy says', async (t) => {
+  const fleet = createStore();
+  const first = openMembership(fleet, 'one');
+  await waitFor(() => first.getFence() !== undefined);
+  const other = openMembership(fleet, 'two', { handoverMs: 60_000 });
+  t.teardown(other.stop);
+  await waitFor(() => other.membership.listHosts().length === 2);
+  first.stop();
+  await fleet.restore([LAST_LEADER_KEY]);
+  await waitFor(() => other.getFence() !== undefined);
+  t.notOk(await other.membership.confirmLeadership());
+});
+
+t.test('hosts register again after a restore that has lost their entries', async (t) => {
+  const fleet = createStore();
+  const host = openMembership(fleet, 'one');
+  t.teardown(host.stop);
+  const key = 'bronzelanding/hosts/one';
+  await waitFor(() => fleet.read(key) !== undefined);
+  await fleet.restore([key]);
+  await waitFor(() => fleet.read(key) !== undefined);
+});
+
+t.test('a host that leaves removes its entries and no lease', async (t) => {
+  const fleet = createStore();
+  const host = openMembership(fleet, 'one');
+  t.teardown(host.stop);
+  await waitFor(() => host.getFence() !== undefined);
+  await host.membership.leave();
+  t.equal(fleet.read('bronzelanding/command'), undefined);
+  t.equal(fleet.read('bronzelanding/hosts/one'), undefined);
+});
+
+t.test('what a leader writes cannot be written over the entry of another one', async (t) => {
+  const fleet = createStore();
+  const host = openMembership(fleet, 'one');
+  t.teardown(host.stop);
+  await waitFor(() => host.getFence() !== undefined);
+  const { revision = 0 } = fleet.read('bronzelanding/command') ?? {};
+  const conditions = listLeadershipConditions('other', revision);
+  const { result } = await fleet.store.transact({ conditions, writes: [] });
+  t.equal(result, TransactionResult.conflict, 'although the revision of the entry is the same');
+});
--- a/src/serving/maintainMembership/types.ts
+++ b/src/serving/maintainMembership/types.ts
@@ -27,6 +27,8 @@
   random: () => number;
   self: FleetHost;
   incarnation: string;
+  /** Whether the whole fleet starts for the first time. */
+  isFirstStart: boolean;
   /** Duration of the leader's lease. */
   leaderTtlMs: number;
   /** Duration of the lease of a registration. */
