Believe no registration of a copy that a host knows to be outdated

What callers would see: requests at a server that had left before the store came back from a copy (18 of 500 over sockets), and refusals where a server that has registered since the copy is missing in it. Cause: what the store says was taken for the present state, whatever the host knew before. Now a host remembers servers that are gone. In a new epoch an entry under their id counts only if it was written later than the last one known: by a later start or a further renewal. An older incarnation or registration replaces no newer one, and a leave stays. A server that is missing in the copy, in the host's own list or in that of a leader that knows the copy only, has two seconds to register again. Within an epoch the store's order decides as before.

--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -123,6 +123,10 @@
   copies?: readonly string[];
   /** Changes with each start of the server, even if its id stays the same. */
   incarnation: string;
+  /** Start of the server in Unix milliseconds; 0 or absent where it does not tell. */
+  startedAtMs?: number;
+  /** Renewals of its registration since then. */
+  renewals?: number;
 }
 
 /** Part of a prompt that other requests may share. */
--- a/src/serving/createEpochStore/test.ts
+++ b/src/serving/createEpochStore/test.ts
@@ -71,7 +71,11 @@
   const { store, client, state } = openStore(3);
   const { revision } = await store.list('servers/');
   client.watch = (_prefix, _after, _waitMs, stop) =>
-    new Promise((_, reject) => stop.addEventListener('abort', () => reject(new Error('aborted'))));
+    new Promise((_, reject) => {
+      stop.addEventListener('abort', () => {
+        reject(new Error('aborted'));
+      });
+    });
   const watched = store.watch('servers/', revision, 60_000, signal);
   state.epoch = 4;
   await store.list('op/');
@@ -130,8 +134,10 @@
 t.test('a refusal may be the first to show the restore, and two may come in a row', async (t) => {
   const { store, client, changes } = openStore(3);
   await store.list('servers/');
-  client.list = () =>
-    Promise.reject(new KeyValueServiceError('status 503', { props: { epoch: 5 } }));
+  client.list = async () => {
+    await Promise.resolve();
+    throw new KeyValueServiceError('status 503', { props: { epoch: 5 } });
+  };
   await t.rejects(store.list('servers/'));
   t.strictSame(changes, [5]);
   t.equal(store.getEpoch(), 5);
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -1,6 +1,7 @@
 import { chooseStandbys } from '../../decisions/leadership/chooseStandbys/index.js';
 import { computeStartGraces } from '../../decisions/leadership/computeStartGraces/index.js';
 import { isLeaveAdded } from '../../decisions/serving/isLeaveAdded/index.js';
+import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
 import { formatError } from '../../errors/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 import { createFleetTransport, type FleetConnection } from '../createFleetTransport/index.js';
@@ -112,7 +113,8 @@
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
     );
     if (leader === undefined) {
-      if (view.isSnapshot || view.servers.length + view.removed.length > 0) options.onServers(view);
+      if (view.isSnapshot || view.servers.length + view.removed.length > 0)
+        options.onServers({ ...view, epoch: decodeRevision(view.fence).epoch });
       const asOf = reports.findCompleteAsOf(view);
       if (asOf !== undefined) options.listAge.recordComplete(asOf);
     }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -14,6 +14,8 @@
   isLeaving: z.boolean(),
   models: z.array(z.object({ name, adapters: z.array(name) })),
   incarnation: name,
+  startedAtMs: z.number().optional(),
+  renewals: z.number().optional(),
 });
 const numbersByName = z.record(z.string(), z.number());
 
--- a/src/serving/startFleetLeader/_lib/collectServerChanges.ts
+++ b/src/serving/startFleetLeader/_lib/collectServerChanges.ts
@@ -1,9 +1,10 @@
 import type { BackendServer } from '../../../ports/serving.js';
 import type { FleetView } from '../../fleetMessages.js';
 
-/** Compares all that is sent; copies of weights matter to the leader only. */
+/** Compares what hosts act on; copies of weights matter to the leader only, and renewals to no choice. */
 function isSameServer(sent: BackendServer | undefined, server: BackendServer): boolean {
-  const encode = (item: BackendServer): string => JSON.stringify({ ...item, copies: undefined });
+  const encode = (item: BackendServer): string =>
+    JSON.stringify({ ...item, copies: undefined, renewals: undefined });
   return sent === server || (sent !== undefined && encode(sent) === encode(server));
 }
 
--- a/src/serving/watchServers/index.ts
+++ b/src/serving/watchServers/index.ts
@@ -6,6 +6,7 @@
 import type { BackendServer } from '../../ports/serving.js';
 import type { ListAge } from '../createListAge/index.js';
 import type { StoreOutage } from '../createStoreOutage/index.js';
+import { createRegistrations } from './_lib/createRegistrations.js';
 import { watchPrefix, type LeaderFeed } from '../watchPrefix/index.js';
 
 /** Options of watching the registrations of backend servers. */
@@ -47,6 +48,8 @@
   removed: readonly string[];
   /** Whether `servers` are all servers there are. */
   isSnapshot: boolean;
+  /** Epoch of the store in which the leader leads. */
+  epoch: number;
 }
 
 /** Handle of the watched servers. */
@@ -67,17 +70,33 @@
  */
 export function watchServers(options: WatchServersOptions): WatchedServers {
   const { store, prefix, clock, log, signal, decode, onServers, listAge, outage } = options;
-  const servers = new Map<string, BackendServer>();
+  const registrations = createRegistrations(log);
+  const { servers } = registrations;
   /** Servers whose registration was removed during a store outage or just after it. */
   const expired = new Set<string>();
   /** Until when a server whose registration is missing may register again. */
   let awaitedUntilMs = -Infinity;
+  let seenEpoch = 0;
+  /** The same since the store was restored, when also a leader may know the copy only. */
+  let restoredUntilMs = -Infinity;
   let expiryTimer: NodeJS.Timeout | undefined;
 
   const isAwaitingReregistration = (): boolean => clock.monotonicMs() < awaitedUntilMs;
 
+  /** A copy of the store may lack servers that have registered since it was taken. */
+  const recordEpoch = (epoch: number): void => {
+    if (epoch <= seenEpoch) return;
+    const isRestored = servers.size > 0;
+    log.info({ before: seenEpoch, epoch, isRestored }, 'servers of another epoch of the store');
+    seenEpoch = epoch;
+    if (!isRestored) return;
+    restoredUntilMs = clock.monotonicMs() + REREGISTRATION_MS;
+    awaitedUntilMs = restoredUntilMs;
+  };
+
   /** Recognises the end of an outage that was long enough for registrations to lapse. */
   const checkForOutage = (): void => {
+    recordEpoch(store.getEpoch());
     const ageMs = listAge.getAgeMs();
     if (!Number.isFinite(ageMs) || ageMs < LAPSE_INTERVALS * options.registrationIntervalMs) return;
     const nowMs = clock.monotonicMs();
@@ -91,29 +110,17 @@
     );
   };
 
-  const setServer = (server: BackendServer, revision: number, source: string): void => {
-    const { id, service, incarnation } = server;
-    const known = servers.get(id);
-    if (known?.incarnation !== incarnation)
-      log.info(
-        { server: id, revision, source, service, incarnation },
-        'server registered or restarted',
-      );
-    else if (server.isLeaving && !known.isLeaving)
-      log.info({ server: id, revision, source }, 'server started draining');
-    servers.set(id, server);
-  };
-
   const apply = ({ key, value, revision }: StoreChange): void => {
     const id = key.slice(prefix.length);
     expired.delete(id);
     if (value === undefined) {
       if (isAwaitingReregistration()) holdBack(id);
-      else if (servers.delete(id)) log.info({ server: id, revision }, 'server deregistered');
+      else if (registrations.remove(id, store.getEpoch()))
+        log.info({ server: id, revision }, 'server deregistered');
       return;
     }
     try {
-      setServer(decode(id, value), revision, 'store');
+      registrations.set(decode(id, value), { source: 'store', revision, epoch: store.getEpoch() });
     } catch (error) {
       servers.delete(id);
       log.warn(
@@ -134,7 +141,7 @@
     expiryTimer = undefined;
     if (expired.size === 0) return;
     for (const id of expired) {
-      servers.delete(id);
+      registrations.remove(id, seenEpoch);
       log.info(
         { server: id },
         'server removed, its registration expired around a store outage and was not renewed',
@@ -176,16 +183,20 @@
     outage,
   });
   return {
-    applyLeaderChanges: ({ servers: changed, removed, isSnapshot }) => {
+    applyLeaderChanges: ({ servers: changed, removed, isSnapshot, epoch }) => {
+      recordEpoch(epoch);
       for (const server of changed) {
         expired.delete(server.id);
-        setServer(server, 0, 'peer');
+        registrations.set(server, { source: 'peer', revision: 0, epoch });
       }
       const listed = new Set(changed.map(({ id }) => id));
       const missing = isSnapshot ? [...servers.keys()].filter((id) => !listed.has(id)) : [];
-      for (const id of [...removed, ...missing]) {
+      const isRestored = clock.monotonicMs() < restoredUntilMs;
+      if (isRestored) missing.forEach(holdBack);
+      for (const id of isRestored ? removed : [...removed, ...missing]) {
         expired.delete(id);
-        if (servers.delete(id)) log.info({ server: id, source: 'peer' }, 'server deregistered');
+        if (registrations.remove(id, epoch))
+          log.info({ server: id, source: 'peer' }, 'server deregistered');
       }
       onServers(servers);
     },
--- a/src/serving/watchServers/test.ts
+++ b/src/serving/watchServers/test.ts
@@ -36,6 +36,7 @@
     const value = Buffer.from('{}');
     const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
     const store = {
+      getEpoch: () => 0,
       list: () =>
         Promise.resolve({
           items: [{ key: 'servers/c1', value, revision: 1, lease: 0 }],
@@ -91,7 +92,12 @@
     t.strictSame(known, ['c1'], 'may register again');
     isFeedActive = true;
     await new Promise((resolve) => setTimeout(resolve, 50));
-    watched.applyLeaderChanges({ servers: [buildServer('c1')], removed: [], isSnapshot: false });
+    watched.applyLeaderChanges({
+      servers: [buildServer('c1')],
+      removed: [],
+      isSnapshot: false,
+      epoch: 0,
+    });
     nowMs = 10_000;
     await new Promise((resolve) => setTimeout(resolve, 700));
     t.strictSame(known, ['c1']);
@@ -103,12 +109,14 @@
   const stop = new AbortController();
   t.teardown(() => stop.abort());
   const now = { ms: 0 };
+  const epoch = { value: 1 };
   const clock = { monotonicMs: () => now.ms, wallMs: () => now.ms };
   const outage = createStoreOutage({ clock });
   let changes: StoreChange[] = [];
   let revision = 1;
   let answer = (): Promise<void> => Promise.resolve();
   const store = {
+    getEpoch: () => epoch.value,
     list: () =>
       Promise.resolve({
         items: [{ key: 'servers/c1', value: Buffer.from('{}'), revision: 1, lease: 0 }],
@@ -124,6 +132,7 @@
     },
   } as unknown as FleetStore;
   let known: string[] = [];
+  let knownServers: ReadonlyMap<string, BackendServer> = new Map();
   let lists = 0;
   const watched = watchServers({
     store,
@@ -138,6 +147,7 @@
     decode: buildServer,
     onServers: (servers) => {
       known = [...servers.keys()];
+      knownServers = servers;
       lists += 1;
     },
     onStoreResponse: () => undefined,
@@ -153,9 +163,11 @@
   });
   return {
     now,
+    epoch,
     watched,
     outage,
     getKnown: () => known,
+    getServer: (id: string) => knownServers.get(id),
     countLists: () => lists,
     setAnswer: (next: () => Promise<void>) => {
       answer = next;
@@ -216,8 +228,64 @@
   await waitUntil(() => watch.countLists() > 0);
   t.strictSame(watch.getKnown(), ['c1']);
   const other = [buildServer('c2')];
-  watch.watched.applyLeaderChanges({ servers: other, removed: [], isSnapshot: false });
+  watch.watched.applyLeaderChanges({ servers: other, removed: [], isSnapshot: false, epoch: 1 });
   t.strictSame(watch.getKnown(), ['c1', 'c2'], 'of changes alone it cannot tell');
-  watch.watched.applyLeaderChanges({ servers: other, removed: [], isSnapshot: true });
+  watch.watched.applyLeaderChanges({ servers: other, removed: [], isSnapshot: true, epoch: 1 });
   t.strictSame(watch.getKnown(), ['c2']);
 });
+
+const buildRenewed = (id: string, startedAtMs: number, renewals: number): BackendServer => ({
+  ...buildServer(id),
+  incarnation: `${id}/${startedAtMs}`,
+  startedAtMs,
+  renewals,
+});
+
+/** Opens a host to which a leader has passed on one server, in the first epoch. */
+async function openFedHost(t: Test, server: BackendServer) {
+  const watch = openWatch(t);
+  await waitUntil(() => watch.countLists() > 0);
+  const { applyLeaderChanges } = watch.watched;
+  const give = (epoch: number, servers: BackendServer[], removed: string[] = []): void =>
+    applyLeaderChanges({ servers, removed, isSnapshot: false, epoch });
+  const giveAll = (epoch: number, servers: BackendServer[]): void =>
+    applyLeaderChanges({ servers, removed: [], isSnapshot: true, epoch });
+  giveAll(1, [server]);
+  return { ...watch, give, giveAll };
+}
+
+t.test('a leader that knows the copy only brings back no server that had left', async (t) => {
+  const host = await openFedHost(t, buildRenewed('e1', 1000, 5));
+  host.give(1, [], ['e1']);
+  host.giveAll(2, [buildRenewed('e1', 1000, 4)]);
+  t.strictSame(host.getKnown(), []);
+  host.give(2, [buildRenewed('e1', 1000, 6)]);
+  t.strictSame(host.getKnown(), ['e1'], 'it has registered again since');
+});
+
+t.test('a server that returns within an epoch is used again', async (t) => {
+  const host = await openFedHost(t, buildRenewed('e1', 1000, 5));
+  host.give(1, [], ['e1']);
+  host.give(1, [buildRenewed('e1', 1000, 5)]);
+  t.strictSame(host.getKnown(), ['e1']);
+});
+
+t.test(
+  'a leader that knows the copy only drops no server before it may register again',
+  async (t) => {
+    const host = await openFedHost(t, buildRenewed('e1', 1000, 5));
+    host.giveAll(2, []);
+    t.strictSame(host.getKnown(), ['e1']);
+    host.now.ms = 2001;
+    await waitUntil(() => host.getKnown().length === 0);
+  },
+);
+
+t.test('an older incarnation or registration of the copy replaces no newer one', async (t) => {
+  const host = await openFedHost(t, buildRenewed('e1', 2000, 5));
+  host.give(2, [{ ...buildRenewed('e1', 1000, 9), service: 'older' }]);
+  host.give(2, [{ ...buildRenewed('e1', 2000, 4), service: 'older' }]);
+  t.equal(host.getServer('e1')?.service, 'certs');
+  host.give(2, [{ ...buildRenewed('e1', 2000, 6), service: 'newer' }]);
+  t.equal(host.getServer('e1')?.service, 'newer');
+});
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -33,7 +33,7 @@
   store.read('bronzelanding/command') as { holder: string } | undefined;
 
 /** Takes the store away for a moment and brings it back from its copy. */
-async function restoreStore({ store }: Pick<Fleet, 'store'>): Promise<void> {
+async function runRestore({ store }: Pick<Fleet, 'store'>): Promise<void> {
   store.setMode(StoreMode.busy);
   await wait(OUTAGE_MS);
   store.restore();
@@ -41,7 +41,7 @@
 }
 
 /** Sends requests until an adapter of an engine is loaded by an order. */
-async function loadAdapter({ hosts }: Pick<Fleet, 'hosts'>, adapter: string): Promise<void> {
+async function requestAdapter({ hosts }: Pick<Fleet, 'hosts'>, adapter: string): Promise<void> {
   const [host] = hosts as [(typeof hosts)[number]];
   await waitUntil(`adapter ${adapter} is loaded`, async () => {
     const headers = { model: `oak/${adapter}` };
@@ -54,11 +54,11 @@
   fleet.store.takeCopy();
   for (let index = 0; index < 200; index += 1) fleet.store.put('op/other', `${index}`);
   await waitUntil('a host leads', () => findLeader(fleet) !== undefined);
-  await loadAdapter(fleet, 'a1');
-  await restoreStore(fleet);
-  await loadAdapter(fleet, 'a2');
-  await restoreStore(fleet);
-  await loadAdapter(fleet, 'a3');
+  await requestAdapter(fleet, 'a1');
+  await runRestore(fleet);
+  await requestAdapter(fleet, 'a2');
+  await runRestore(fleet);
+  await requestAdapter(fleet, 'a3');
   for (const { receivedOrders } of fleet.engines) {
     const fences = receivedOrders.map(({ fence }) => fence);
     t.strictSame(
@@ -77,9 +77,9 @@
   const fleet = await startFleet(t, 3, 'llm');
   fleet.store.takeCopy();
   await waitUntil('a host leads', () => findLeader(fleet) !== undefined);
-  await loadAdapter(fleet, 'a1');
-  await restoreStore(fleet);
-  for (const adapter of ['a2', 'a3', 'a4', 'a5']) await loadAdapter(fleet, adapter);
+  await requestAdapter(fleet, 'a1');
+  await runRestore(fleet);
+  for (const adapter of ['a2', 'a3', 'a4', 'a5']) await requestAdapter(fleet, adapter);
   for (const { receivedOrders } of fleet.engines)
     receivedOrders.forEach(({ atMs, holder }, index) => {
       const before = receivedOrders[index - 1];
@@ -114,7 +114,7 @@
       ({ status }) => status === 401,
     );
   await waitUntil('the key is withdrawn', isKeyGone);
-  await restoreStore(fleet);
+  await runRestore(fleet);
   const endsAtMs = performance.now() + 2000;
   while (performance.now() < endsAtMs) t.ok(await isKeyGone());
 });
@@ -125,7 +125,7 @@
   fleet.store.remove('servers/s1');
   await wait(DRAINING_DELAY_MS);
   const before = fleet.first.receivedRequests.length;
-  await restoreStore(fleet);
+  await runRestore(fleet);
   for (const { status } of await sendEvenly(fleet, 500)) t.equal(status, 200);
   t.equal(fleet.first.receivedRequests.length - before, 0);
 });
@@ -138,7 +138,7 @@
   fleet.store.remove('servers/s1');
   fleet.store.put('servers/s2', fleet.second.buildRegistration());
   await wait(DRAINING_DELAY_MS);
-  await restoreStore(fleet);
+  await runRestore(fleet);
   const rewritten = wait(REWRITE_DELAY_MS).then(fleet.store.rewrite);
   for (const { status } of await sendEvenly(fleet, 400)) t.equal(status, 200);
   await rewritten;
@@ -153,7 +153,7 @@
   fleet.first.restart();
   fleet.store.put('servers/s1', fleet.first.buildRegistration());
   await wait(DRAINING_DELAY_MS);
-  await restoreStore(fleet);
+  await runRestore(fleet);
   const seen = fleet.first.receivedRequests.length;
   for (const { status } of await sendEvenly(fleet, 200)) t.equal(status, 200);
   t.ok(fleet.first.receivedRequests.length > seen);
