Keep the quarantine over a restore of the store

What callers would see: prompts that crash servers reach them again after the store has come back from a copy that is older than the quarantine, three requests and two servers for each part. Cause: a host took the groups of the copy for the present ones, and a leader stored groups only when they changed. Now a host that knew the quarantine before the restore keeps what it knows over the first list of the new epoch, and each new leader with groups stores them once: one write for each change of leader while there are groups. Removing entries moves to a file of its own. Tests in maintainMembership and createPartQuarantine.

--- a/src/serving/createPartQuarantine/index.ts
+++ b/src/serving/createPartQuarantine/index.ts
@@ -71,7 +71,8 @@
   const sentTexts = new Map<string, string>();
   let state: FleetQuarantine = { watched: [], groups: [] };
   let stateText = '';
-  let isSaved = true;
+  // The store may have lost what the previous leader stored.
+  let isSaved = groups.length === 0;
   let reportedAtMs = startedAtMs;
   let updatedAtMs = -Infinity;
 
--- a/src/serving/createPartQuarantine/test.ts
+++ b/src/serving/createPartQuarantine/test.ts
@@ -235,3 +235,18 @@
   t.equal(fleet.leader?.tryTrial(['rare']), true);
   t.end();
 });
+
+t.test('a new leader stores the groups again, as the store may have lost them', async (t) => {
+  const saved = [{ parts: ['bad'], crashes: 3, trials: 1, confirmations: 1, wasServed: false }];
+  const fleet = createFleet(2, saved);
+  let writes = 0;
+  const write = (): Promise<boolean> => {
+    writes += 1;
+    return Promise.resolve(true);
+  };
+  await fleet.leader?.save(write);
+  await fleet.leader?.save(write);
+  t.equal(writes, 1, 'once');
+  await createFleet(2).leader?.save(write);
+  t.equal(writes, 1, 'nothing where there is none');
+});
--- a/src/serving/maintainMembership/index.ts
+++ b/src/serving/maintainMembership/index.ts
@@ -6,12 +6,7 @@
 import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
 import { isLeaseValid } from '../../decisions/leadership/isLeaseValid/index.js';
 import { formatError } from '../../errors/index.js';
-import {
-  TransactionResult,
-  type StoreChange,
-  type StoreCondition,
-  type StoreItem,
-} from '../../ports/fleetStore.js';
+import { TransactionResult, type StoreChange, type StoreItem } from '../../ports/fleetStore.js';
 import { watchPrefix } from '../watchPrefix/index.js';
 import {
   applyStoreChange,
@@ -20,12 +15,14 @@
   listLeadershipConditions,
   FLEET_PREFIX,
   LAST_LEADER_KEY,
+  QUARANTINE_KEY,
   type FleetState,
 } from './_lib/fleetState.js';
 import { createHandover } from './_lib/createHandover.js';
 import { createHeldLease } from './_lib/createHeldLease.js';
 import { createPauseDetector } from './_lib/createPauseDetector.js';
 import { maintainRegistration } from './_lib/maintainRegistration.js';
+import { removeEntries } from './_lib/removeEntries.js';
 import { writePartGroups } from './_lib/writePartGroups.js';
 
 import type { MaintainMembershipOptions, Membership } from './types.js';
@@ -58,6 +55,10 @@
   let isLeaving = false;
   let isElecting = false;
   let failedAttempts = 0;
+  /** Whether this host has read the fleet's keys, in any epoch of the store. */
+  let hasRead = false;
+  /** Whether the next list is the first one since the store was restored. */
+  let isCopyUnread = false;
   /** Epoch of the last leadership of this process. */
   let ledEpoch: number | undefined;
 
@@ -207,6 +208,7 @@
     const { partGroups } = state;
     for (const change of changes) applyStoreChange(state, change, log);
     state.hasSnapshot = true;
+    hasRead = true;
     // A new leader starts with them.
     if (state.partGroups !== partGroups) options.onPartGroups(state.partGroups);
     updateLeadership();
@@ -237,30 +239,25 @@
     mayWaitForOthers: true,
     pause: watchPause,
     onSnapshot: (items: StoreItem[]) => {
+      const isCopy = isCopyUnread;
+      isCopyUnread = false;
       state.hosts.clear();
       state.command = undefined;
       state.lastLeader = { holder: '', epoch: 0 };
       state.lastHolderRevision = 0;
-      applyChanges(items);
+      // What this host knows of the quarantine is newer than a copy of the store.
+      applyChanges(isCopy ? items.filter(({ key }) => key !== QUARANTINE_KEY) : items);
     },
     onChanges: applyChanges,
     feed,
     outage: options.outage,
   });
 
-  /** Removes entries of this process; their leases may be those of other hosts after a restore. */
-  const removeEntries = async (conditions: readonly StoreCondition[]): Promise<void> => {
-    if (conditions.length === 0) return;
-    const removals = conditions.map(({ key }) => key);
-    await store.transact({ conditions, writes: [], removals }).catch((error: unknown) => {
-      log.warn({ removals, error: formatError(error) }, 'entries not removed, they will expire');
-    });
-  };
-
   store.onEpochChange((epoch) => {
     const wasLeading = isLeadershipConfirmed();
     handover.recordRestore(wasLeading ? ledEpoch : undefined);
     log.warn({ epoch, wasLeading }, 'store was restored, joining the fleet again');
+    isCopyUnread = hasRead;
     state.hasSnapshot = false;
     leaderLease.drop();
     setFencingToken(undefined);
--- a/src/serving/maintainMembership/test.ts
+++ b/src/serving/maintainMembership/test.ts
@@ -8,7 +8,8 @@
   type StoreChange,
   type StoreItem,
 } from '../../ports/fleetStore.js';
-import { LAST_LEADER_KEY, listLeadershipConditions } from './_lib/fleetState.js';
+import { LAST_LEADER_KEY, listLeadershipConditions, QUARANTINE_KEY } from './_lib/fleetState.js';
+import type { SavedPartGroup } from '../types.js';
 import { maintainMembership, type MaintainMembershipOptions } from './index.js';
 
 const silentLog = { info: () => undefined, warn: () => undefined, error: () => undefined };
@@ -62,7 +63,7 @@
     for (const key of keys) items.delete(key);
     for (const listener of listeners) listener(epoch);
   };
-  return { store, endLease, restore, read: (key: string) => items.get(key) };
+  return { store, endLease, restore, put, read: (key: string) => items.get(key) };
 }
 
 type Store = ReturnType<typeof createStore>;
@@ -231,3 +232,23 @@
   const { result } = await fleet.store.transact({ conditions, writes: [] });
   t.equal(result, TransactionResult.conflict, 'although the revision of the entry is the same');
 });
+
+t.test('a quarantine of an older copy does not replace the one that a host knows', async (t) => {
+  const fleet = createStore();
+  let groups: readonly SavedPartGroup[] = [];
+  const host = openMembership(fleet, 'one', {
+    onPartGroups: (next) => {
+      groups = next;
+    },
+  });
+  t.teardown(host.stop);
+  await waitFor(() => host.getFence() !== undefined);
+  const known = [{ parts: ['bad'], crashes: 4, trials: 0, confirmations: 1, wasServed: false }];
+  t.ok(await host.membership.writePartGroups(known));
+  await waitFor(() => groups.length === 1);
+  await fleet.restore([]);
+  fleet.put(QUARANTINE_KEY, '[]', 0);
+  await waitFor(() => host.getFence() !== undefined);
+  t.match(groups, known);
+  t.ok(await host.membership.writePartGroups(known), 'and the next leader stores it');
+});
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -41,7 +41,7 @@
 }
 
 /** Sends requests until an adapter of an engine is loaded by an order. */
-async function requestAdapter({ hosts }: Pick<Fleet, 'hosts'>, adapter: string): Promise<void> {
+async function sendUntilLoaded({ hosts }: Pick<Fleet, 'hosts'>, adapter: string): Promise<void> {
   const [host] = hosts as [(typeof hosts)[number]];
   await waitUntil(`adapter ${adapter} is loaded`, async () => {
     const headers = { model: `oak/${adapter}` };
@@ -54,11 +54,11 @@
   fleet.store.takeCopy();
   for (let index = 0; index < 200; index += 1) fleet.store.put('op/other', `${index}`);
   await waitUntil('a host leads', () => findLeader(fleet) !== undefined);
-  await requestAdapter(fleet, 'a1');
+  await sendUntilLoaded(fleet, 'a1');
   await runRestore(fleet);
-  await requestAdapter(fleet, 'a2');
+  await sendUntilLoaded(fleet, 'a2');
   await runRestore(fleet);
-  await requestAdapter(fleet, 'a3');
+  await sendUntilLoaded(fleet, 'a3');
   for (const { receivedOrders } of fleet.engines) {
     const fences = receivedOrders.map(({ fence }) => fence);
     t.strictSame(
@@ -77,9 +77,9 @@
   const fleet = await startFleet(t, 3, 'llm');
   fleet.store.takeCopy();
   await waitUntil('a host leads', () => findLeader(fleet) !== undefined);
-  await requestAdapter(fleet, 'a1');
+  await sendUntilLoaded(fleet, 'a1');
   await runRestore(fleet);
-  for (const adapter of ['a2', 'a3', 'a4', 'a5']) await requestAdapter(fleet, adapter);
+  for (const adapter of ['a2', 'a3', 'a4', 'a5']) await sendUntilLoaded(fleet, adapter);
   for (const { receivedOrders } of fleet.engines)
     receivedOrders.forEach(({ atMs, holder }, index) => {
       const before = receivedOrders[index - 1];
