Put no pages of a list together across a restore of the store

A list of more than one page could hold pages of two epochs: a server whose page came before the restore, or a fleet key that the copy lacks. The list is read again instead. The test has such pages.

--- a/src/serving/maintainMembership/index.ts
+++ b/src/serving/maintainMembership/index.ts
@@ -287,7 +287,11 @@
       leaderLease.drop();
       setFencingToken(undefined);
       registration.leave();
-      await Promise.all([leadership, ownEntry === undefined ? [] : [ownEntry]].map(removeEntries));
+      await Promise.all(
+        [leadership, ownEntry === undefined ? [] : [ownEntry]].map((conditions) =>
+          removeEntries(options, conditions),
+        ),
+      );
     },
   };
 }
--- a/src/serving/watchPrefix/index.ts
+++ b/src/serving/watchPrefix/index.ts
@@ -4,7 +4,8 @@
 import { createPause, type Pause } from '../../common/createPause.js';
 import { isAborted } from '../../common/isAborted.js';
 import { addMilliseconds, computeElapsedMs, readMoment, type Moment } from '../../common/moment.js';
-import { formatError } from '../../errors/index.js';
+import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
+import { formatError, KeyValueServiceError } from '../../errors/index.js';
 import type { Clock } from '../../ports/clock.js';
 import type { FleetStore, StoreChange, StoreItem } from '../../ports/fleetStore.js';
 import type { Log } from '../../ports/log.js';
@@ -87,6 +88,8 @@
   let page = first;
   while (page.hasMore) {
     page = await store.list(prefix, items[items.length - 1]?.key);
+    if (decodeRevision(page.revision).epoch !== decodeRevision(first.revision).epoch)
+      throw new KeyValueServiceError(`store was restored while ${prefix} was listed`);
     items.push(...page.items);
   }
   // Pages are not a consistent snapshot: the watch repeats the changes made since the first page.
--- a/src/serving/watchPrefix/test.ts
+++ b/src/serving/watchPrefix/test.ts
@@ -1,4 +1,5 @@
 import t from 'tap';
+import { encodeRevision } from '../../decisions/storeEpochs/encodeRevision/index.js';
 import type { FleetStore } from '../../ports/fleetStore.js';
 import { createStoreOutage } from '../createStoreOutage/index.js';
 import { watchPrefix } from './index.js';
@@ -121,3 +122,26 @@
   while (waits.length < 4) await new Promise((resolve) => setTimeout(resolve, 10));
   t.ok(waits.every(Number.isInteger), waits.join());
 });
+
+t.test('pages of a list from two epochs of the store are not put together', async (t) => {
+  const pages = [
+    { items: [], revision: encodeRevision(3, 9), hasMore: true },
+    { items: [], revision: encodeRevision(4, 2), hasMore: false },
+    { items: [], revision: encodeRevision(4, 2), hasMore: false },
+  ];
+  let lists = 0;
+  const store = {
+    list: () => Promise.resolve(pages[Math.min(lists++, 2)]),
+    watch: () => new Promise(() => undefined),
+  } as unknown as FleetStore;
+  const stop = new AbortController();
+  t.teardown(() => stop.abort());
+  await new Promise<void>((resolve) => {
+    void watchPrefix({
+      ...buildOptions(store, stop.signal),
+      onSnapshot: () => resolve(),
+      outage: createStoreOutage(),
+    });
+  });
+  t.equal(lists, 3);
+});
