--- a/src/serving/maintainMembership/_lib/removeEntries.ts
+++ b/src/serving/maintainMembership/_lib/dropEntries.ts
@@ -3,7 +3,7 @@
 import type { Log } from '../../../ports/log.js';
 
 /** Removes the keys of the conditions if all hold. Ending their leases could end those of other hosts. */
-export async function removeEntries(
+export async function dropEntries(
   { store, log }: { store: Pick<FleetStore, 'transact'>; log: Log },
   conditions: readonly StoreCondition[],
 ): Promise<void> {
--- a/src/serving/maintainMembership/index.ts
+++ b/src/serving/maintainMembership/index.ts
@@ -22,7 +22,7 @@
 import { createHeldLease } from './_lib/createHeldLease.js';
 import { createPauseDetector } from './_lib/createPauseDetector.js';
 import { maintainRegistration } from './_lib/maintainRegistration.js';
-import { removeEntries } from './_lib/removeEntries.js';
+import { dropEntries } from './_lib/dropEntries.js';
 import { writePartGroups } from './_lib/writePartGroups.js';
 
 import type { MaintainMembershipOptions, Membership } from './types.js';
@@ -289,7 +289,7 @@
       registration.leave();
       await Promise.all(
         [leadership, ownEntry === undefined ? [] : [ownEntry]].map((conditions) =>
-          removeEntries(options, conditions),
+          dropEntries(options, conditions),
         ),
       );
     },
