--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -3,7 +3,8 @@
 import { FaultKind } from './soak/types.js';
 
 /** Kinds of faults from which the plans of the first seeds were drawn. */
-const FIRST_KINDS = Object.values(FaultKind).filter((kind) => kind !== FaultKind.engineNotice);
+const LATER_KINDS: readonly FaultKind[] = [FaultKind.engineNotice, FaultKind.restore];
+const FIRST_KINDS = Object.values(FaultKind).filter((kind) => !LATER_KINDS.includes(kind));
 /** Seeds that failed before, with the cause. */
 const REGRESSIONS: readonly { seed: number; cause: string; kinds: readonly FaultKind[] }[] = [
   // The check judged delayed orders by their execution; the platform judges them by their arrival.
@@ -33,6 +34,23 @@
   t.same(violations, []);
 });
 
+t.test('keeps all guarantees while the store is restored from copies', async (t) => {
+  const { faults, violations } = await runSoak({
+    seed: 41,
+    lengthMs: 2 * SHORT_MS,
+    kinds: [
+      FaultKind.restore,
+      FaultKind.kill,
+      FaultKind.pause,
+      FaultKind.storeLink,
+      FaultKind.configuration,
+      FaultKind.engineDrain,
+    ],
+  });
+  t.ok(faults.filter(({ kind }) => kind === FaultKind.restore).length > 1);
+  t.same(violations, []);
+});
+
 for (const { seed, cause, kinds } of REGRESSIONS)
   t.test(`seed ${seed}: ${cause}`, async (t) => {
     const { violations } = await runSoak({ seed, lengthMs: 2 * SHORT_MS, kinds });
--- a/tests/soak/applyFault.ts
+++ b/tests/soak/applyFault.ts
@@ -87,6 +87,26 @@
   fleet.store.put(`servers/${engine.id}`, buildRegistration());
 }
 
+const RESTORE_OUTAGE_MS = 1000;
+const REWRITE_DELAY_MS = 1000; // operators and servers write again within two seconds
+
+/** Restores the store from a copy that is as old as the fault is long; one restore at a time. */
+async function applyRestore(fleet: SoakFleet, { forMs, how }: Fault): Promise<void> {
+  const { store } = fleet;
+  const run = async (): Promise<void> => {
+    store.takeCopy();
+    await wait(forMs);
+    store.setMode(how as StoreMode);
+    await wait(RESTORE_OUTAGE_MS);
+    store.restore();
+    store.setMode(StoreMode.normal);
+    await wait(REWRITE_DELAY_MS);
+    store.rewrite();
+  };
+  fleet.lastRestore = fleet.lastRestore.then(run);
+  await fleet.lastRestore;
+}
+
 const NOTICE_MS = 8000; // a limit is checked once hosts have had time to learn of it
 const REQUEST_LIMIT = 3; // requests per second
 const PAUSE_S = 2;
@@ -186,6 +206,8 @@
     case FaultKind.compact:
       fleet.store.compact();
       return;
+    case FaultKind.restore:
+      return applyRestore(fleet, fault);
     case FaultKind.engineRestart:
       return applyEngineRestart(fleet, record, target);
     case FaultKind.engineDrain:
--- a/tests/soak/planFaults.ts
+++ b/tests/soak/planFaults.ts
@@ -66,6 +66,7 @@
   [FaultKind.engineNotice]: ['leave', 'limit', 'pause'],
   [FaultKind.lateOrders]: [''],
   [FaultKind.configuration]: ['', '', ''],
+  [FaultKind.restore]: [StoreMode.busy, StoreMode.silent],
 };
 const MAX_WEIGHT = 3;
 
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -38,6 +38,7 @@
 const FLEET_WIDE_KINDS: ReadonlySet<FaultKind> = new Set([
   FaultKind.store,
   FaultKind.compact,
+  FaultKind.restore,
   FaultKind.killAll,
 ]);
 
--- a/tests/soak/startSoakFleet.ts
+++ b/tests/soak/startSoakFleet.ts
@@ -37,6 +37,8 @@
   store: PlatformStore;
   hosts: SoakHost[];
   engines: SoakEngine[];
+  /** Resolves when the last restore of the store has finished; the next one waits for it. */
+  lastRestore: Promise<void>;
   close: () => Promise<void>;
 }
 
@@ -149,6 +151,7 @@
 }): Promise<SoakFleet> {
   const peerPorts = new Map<string, number>();
   const store = await startPlatformStore({
+    epoch: 1,
     // Hosts read the port of a peer's proxy in place of the peer's own port.
     transformValue: (key, value) => {
       const port = peerPorts.get(key.replace('bronzelanding/hosts/', ''));
@@ -175,6 +178,7 @@
     store,
     hosts,
     engines,
+    lastRestore: Promise.resolve(),
     close: async () => {
       for (const { process } of hosts) {
         process?.kill('SIGCONT');
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -34,6 +34,8 @@
   lateOrders: 'lateOrders',
   /** The operators write a new version of the configuration. */
   configuration: 'configuration',
+  /** The store goes away and comes back from a copy that is some seconds old, in a new epoch. */
+  restore: 'restore',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
