Check epochs in one place, and remember servers whose entry became unreadable

No change for callers: the range of an epoch is a decision with a test of its own, and an entry that cannot be read ends like a removed one in the memory of servers that are gone.

--- a/src/serving/createEpochStore/index.ts
+++ b/src/serving/createEpochStore/index.ts
@@ -1,6 +1,6 @@
-import { MAX_EPOCH } from '../../decisions/storeEpochs/_lib/constants.js';
 import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
 import { encodeRevision } from '../../decisions/storeEpochs/encodeRevision/index.js';
+import { isSupportedEpoch } from '../../decisions/storeEpochs/isSupportedEpoch/index.js';
 import { KeyValueServiceError } from '../../errors/index.js';
 import {
   TransactionResult,
@@ -43,8 +43,8 @@
 
   /** Records the epoch that a response names, if any; returns the one from which the response is. */
   const recordEpoch = (named: number | undefined): number => {
-    if (named !== undefined && named > MAX_EPOCH)
-      throw new KeyValueServiceError(`store named epoch ${named}, above ${MAX_EPOCH}`);
+    if (named !== undefined && !isSupportedEpoch(named))
+      throw new KeyValueServiceError(`store named epoch ${named}, which is not supported`);
     if (named !== undefined && named < epoch)
       throw new KeyValueServiceError(
         `store answered from epoch ${named} after it had answered from epoch ${epoch}`,
@@ -60,7 +60,7 @@
   const recordRefusal = (error: unknown): void => {
     if (!(error instanceof KeyValueServiceError)) return;
     const { epoch: named } = error;
-    if (named !== undefined && named > epoch && named <= MAX_EPOCH) recordEpoch(named);
+    if (named !== undefined && named > epoch && isSupportedEpoch(named)) recordEpoch(named);
   };
 
   const ask = async <T>(
--- a/src/serving/watchServers/index.ts
+++ b/src/serving/watchServers/index.ts
@@ -122,7 +122,7 @@
     try {
       registrations.set(decode(id, value), { source: 'store', revision, epoch: store.getEpoch() });
     } catch (error) {
-      servers.delete(id);
+      registrations.remove(id, store.getEpoch());
       log.warn(
         { key, revision, error: formatError(error).slice(0, 200) },
         'invalid server registration, server not used',
