--- a/review/lib/common.mjs
+++ b/review/lib/common.mjs
@@ -42,11 +42,15 @@
   return Buffer.concat(chunks).toString();
 }
 
-/** Picks a number for an address. */
 function pickNumber() {
   return 16 + Math.floor(Math.random() * 200);
 }
 
+/** Picks the first three numbers of loopback addresses, so that scripts that run at once do not meet. */
+export function pickNetwork() {
+  return `127.${pickNumber()}.${pickNumber()}`;
+}
+
 /** Picks a free port of a loopback address. */
 export async function pickPort(address) {
   const server = createServer();
@@ -219,7 +223,7 @@
 export async function startFleet({ count, store, record, onLine }) {
   const hosts = [];
   // Machines listen on a fixed port for metrics too; scripts that run at once must not meet there.
-  const network = `127.${pickNumber()}.${pickNumber()}`;
+  const network = pickNetwork();
   for (let number = 1; number <= count; number += 1)
     hosts.push(await planHost({ name: `front-${number}`, address: `${network}.${number}`, store }));
   for (const host of hosts) host.process = startHost(host, { onLine });
