--- a/review/lib/links.mjs
+++ b/review/lib/links.mjs
@@ -16,8 +16,8 @@
 /** First wait of TCP before it sends unanswered bytes again; it doubles each time (RFC 6298). */
 const FIRST_RETRY_MS = 200;
 /**
- * What a sender can write to a silent connection before its buffer is full (86 KB for a connection with
- * little traffic on Linux), and the time after which its own time-out then ends it.
+ * What a sender can write to a silent connection before its buffer is full, and the time after which
+ * its own time-out then ends it.
  */
 const WINDOW_BYTES = 65_536;
 const BLOCKED_MS = 5000;
