--- a/review/lib/common.mjs
+++ b/review/lib/common.mjs
@@ -138,6 +138,12 @@
   for (const child of children) child.kill('SIGKILL');
 }
 process.on('exit', endProcesses);
+for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2));
+for (const event of ['uncaughtException', 'unhandledRejection'])
+  process.on(event, (error) => {
+    process.stderr.write(`${error?.stack ?? error}\n`);
+    process.exit(2);
+  });
 
 /** Asks a machine whether it is ready, as the platform does. */
 export async function isReady({ address, ready }) {
