--- a/review/lib/common.mjs
+++ b/review/lib/common.mjs
@@ -19,9 +19,6 @@
 const SETTLE_MS = 5000;
 let writeRecord = () => undefined;
 
-/** Whether the script is to cause its disruption. */
-export const isTroubled = process.env.TROUBLE !== '0';
-
 /** Milliseconds since the start of the script. */
 export function nowMs() {
   return Math.round(performance.now() - startedAt);
