Handle signals from the first moments of a process

SIGHUP ended bronzelanding-entry and -placement at any time.

Cause: runDaemon and startPlatformHost set their handlers after everything had been loaded and started.

Change: createSignalListener is created before the first await of each daemon, ahead of the other modules; a reload is deferred until the daemon has started, a stop ends it with status 0. The start script of the bundle does the same while it evaluates the bundle.

--- a/scripts/startPlatform.mjs
+++ b/scripts/startPlatform.mjs
@@ -15,6 +15,16 @@
 }
 
 if (process.argv[1]?.endsWith('bronzelanding-platform.mjs')) {
+  // The bundle sets its own handlers, but evaluating it takes a tenth of a second or more.
+  let isReloadPending = false;
+  const deferReload = () => {
+    isReloadPending = true;
+  };
+  const exit = () => process.exit(0);
+  process.on('SIGHUP', deferReload).on('SIGTERM', exit).on('SIGINT', exit);
   const path = process.argv[1].replace(/\.mjs$/, '');
-  await loadBundle(`${path}.cjs`, `${path}.cache`).exports.runPlatformHost();
+  const run = loadBundle(`${path}.cjs`, `${path}.cache`).exports.runPlatformHost();
+  process.off('SIGHUP', deferReload).off('SIGTERM', exit).off('SIGINT', exit);
+  if (isReloadPending) process.emit('SIGHUP');
+  await run;
 }
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -1,7 +1,13 @@
 #!/usr/bin/env node
-import { runDaemon } from '../runDaemon.js';
-import { entrySettings } from './settings.js';
-import { startEntry } from './startEntry/index.js';
+import { createSignalListener } from '../createSignalListener/index.js';
+
+// The other modules take some tenths of a second to load, so that signals are handled first.
+const signals = createSignalListener();
+const [{ runDaemon }, { entrySettings }, { startEntry }] = await Promise.all([
+  import('../runDaemon.js'),
+  import('./settings.js'),
+  import('./startEntry/index.js'),
+]);
 
 await runDaemon({
   program: 'bronzelanding-entry',
@@ -9,4 +15,5 @@
     "Receives callers' requests, enforces rate limits and routes requests to backend servers.",
   definitions: entrySettings,
   start: startEntry,
+  signals,
 });
--- a/src/programs/placement/main.ts
+++ b/src/programs/placement/main.ts
@@ -1,7 +1,13 @@
 #!/usr/bin/env node
-import { runDaemon } from '../runDaemon.js';
-import { placementSettings } from './settings.js';
-import { startPlacement } from './startPlacement/index.js';
+import { createSignalListener } from '../createSignalListener/index.js';
+
+// The other modules take some tenths of a second to load, so that signals are handled first.
+const signals = createSignalListener();
+const [{ runDaemon }, { placementSettings }, { startPlacement }] = await Promise.all([
+  import('../runDaemon.js'),
+  import('./settings.js'),
+  import('./startPlacement/index.js'),
+]);
 
 await runDaemon({
   program: 'bronzelanding-placement',
@@ -9,4 +15,5 @@
     'Places models and adapters on engines and rolls out bundles while it is the leader.',
   definitions: placementSettings,
   start: startPlacement,
+  signals,
 });
--- a/src/programs/runDaemon.ts
+++ b/src/programs/runDaemon.ts
@@ -1,22 +1,35 @@
 import { formatError } from '../errors/index.js';
 import { readSettings, type SettingDefinitions, type SettingValues } from '../settings/index.js';
+import { createSignalListener, type SignalListener } from './createSignalListener/index.js';
+
+/** A daemon that has started. */
+export interface RunningDaemon {
+  /** Performs a planned stop. */
+  stop: () => Promise<void>;
+  /** Called for SIGHUP; absent where there is nothing to reload. */
+  reload?: () => void;
+}
 
 /** Options of a daemon. */
 export interface DaemonOptions<Definitions extends SettingDefinitions> {
   program: string;
   description: string;
   definitions: Definitions;
-  /** Starts the daemon; `stop` performs a planned stop. */
-  start: (settings: SettingValues<Definitions>) => Promise<{ stop: () => Promise<void> }>;
+  start: (settings: SettingValues<Definitions>) => Promise<RunningDaemon>;
+  /** Created when the program began; by default signals are handled from this call on. */
+  signals?: SignalListener;
 }
 
-/** Runs a daemon until SIGTERM or SIGINT requests a planned stop, then exits with code 0, or 1 on failure. */
+/**
+ * Runs a daemon until SIGTERM or SIGINT requests a planned stop, then exits with code 0, or 1 on failure. A stop
+ * that comes while the daemon starts ends it at once; a SIGHUP is handled once it has started.
+ */
 export async function runDaemon<Definitions extends SettingDefinitions>(
   options: DaemonOptions<Definitions>,
 ): Promise<void> {
-  const { program, description, definitions, start } = options;
+  const { program, description, definitions, start, signals = createSignalListener() } = options;
   const settings = await readSettings(program, description, definitions);
-  let running: { stop: () => Promise<void> };
+  let running: RunningDaemon;
   try {
     running = await start(settings);
   } catch (error) {
@@ -24,7 +37,7 @@
     process.exit(1);
   }
   let isStopping = false;
-  const stop = (): void => {
+  signals.setStop(() => {
     if (isStopping) return;
     isStopping = true;
     running.stop().then(
@@ -34,7 +47,6 @@
         process.exit(1);
       },
     );
-  };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+  });
+  signals.setReload(() => running.reload?.());
 }
--- a/src/standin/main.ts
+++ b/src/standin/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 import yargs from 'yargs';
+import { createSignalListener } from '../programs/createSignalListener/index.js';
 import { openEngineStandin } from './engine/index.js';
 import type { StandinServer } from './http.js';
 import { openKeyValueStandin } from './keyValueService/index.js';
@@ -7,13 +8,12 @@
 import { openPlatformStandin } from './platform/index.js';
 
 const DEFAULT_MEMORY_BYTES = 80_000_000_000;
+const signals = createSignalListener();
 
 /** Prints the port of a stand-in and closes it when the process is told to stop. */
 function serveUntilStopped(server: StandinServer): void {
   process.stdout.write(`${JSON.stringify({ msg: 'listening', port: server.port })}\n`);
-  const stop = (): void => void server.close().then(() => process.exit(0));
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+  signals.setStop(() => void server.close().then(() => process.exit(0)));
 }
 
 const port = { type: 'number', default: 0, describe: 'Port; 0 picks a free port' } as const;
