Log the longest pause of each stream

Operators could not tell a stream whose first event came late from one that paused beyond what its route accepts: the completion line had the time to the first bytes only. The longest time between two events is logged beside it.

--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -39,6 +39,8 @@
   lastEventId?: string;
   /** Milliseconds from the arrival of the request to the response head. */
   firstBytesMs?: number;
+  /** Longest time between two events of the stream; undefined with fewer than two. */
+  longestPauseMs?: number;
   /** Whether the server ended the connection when it had not begun to answer, or only just. */
   isCrashSuspected: boolean;
 }
@@ -160,10 +162,7 @@
       );
       incompleteEvent = Buffer.from(split.rest);
       const isProgress = !isOnlyComments(split.whole);
-      if (isProgress) {
-        lastBytesAtMs = clock.monotonicMs();
-        recordOutput();
-      }
+      if (isProgress) recordOutput();
       result.lastEventId = split.lastEventId ?? result.lastEventId;
       if (pendingHead !== undefined && !isProgress) {
         pendingBytes = Buffer.concat([pendingBytes, split.whole]);
@@ -177,6 +176,11 @@
     };
     const recordOutput = (): void => {
       const nowMs = clock.monotonicMs();
+      if (outputSinceMs !== Infinity) {
+        const pauseMs = Math.round(nowMs - lastBytesAtMs);
+        result.longestPauseMs = Math.max(result.longestPauseMs ?? 0, pauseMs);
+      }
+      lastBytesAtMs = nowMs;
       outputSinceMs = Math.min(outputSinceMs, nowMs);
       if (isOutputSustained || nowMs - outputSinceMs < SUSTAINED_OUTPUT_MS) return;
       isOutputSustained = true;
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -130,6 +130,7 @@
       result.outcome === AttemptOutcome.served ? 'served' : result.reason,
       {
         firstBytesMs: result.firstBytesMs,
+        longestPauseMs: result.longestPauseMs,
       },
     );
     return false;
