Reset the connection of an abandoned command or request

Callers and servers are affected the same way: a request whose caller was answered or had left still reached its server once a cut of the network had healed.

Cause: an abandoned request ended with a regular close of its connection, after which the kernel goes on delivering what was written. createResettingClient and createResettingAgent reset a connection that is destroyed while a request on it is unanswered: after a time-out, by the signal of the request, when the client is closed, and at the end of the process. Other connections are closed regularly. A controller of an engine abandons its command in flight when it is closed, which happens at the loss of the leadership and in a planned stop. A command that waits for a connection was and is not sent once it is abandoned.

The remaining lease time need not be compared with what TCP may deliver: a command is written with at least 600 ms of the lease left and is reset within 500 ms of its call, after which only packets in the network are left. A test keeps these constants in that order.

The client of the store was left: its writes have conditions that a late one doesn't meet.

--- a/src/adapters/backendServer/index.ts
+++ b/src/adapters/backendServer/index.ts
@@ -1,4 +1,6 @@
-import { Agent, buildConnector, Client, type Dispatcher } from 'undici';
+import { buildConnector, type Client, type Dispatcher } from 'undici';
+import { createResettingAgent } from '../http/createResettingAgent/index.js';
+import { createResettingClient } from '../http/createResettingClient/index.js';
 import { BaseError, formatError, ExecutionOutcome } from '../../errors/index.js';
 
 /** A backend server refused a call, or its response did not arrive completely. */
@@ -79,7 +81,7 @@
   const connect = buildConnector({ timeout: timeouts.connectMs });
   let connectionAttempts = 0;
   let isConnected = false;
-  const client = new Client(origin, {
+  const client = createResettingClient(origin, {
     pipelining: 1,
     headersTimeout: timeouts.headersMs,
     bodyTimeout: timeouts.bodyMs,
@@ -112,7 +114,7 @@
 
 /** Creates a backend server client over undici, without pipelining. */
 export function createBackendServerClient(timeouts: BackendTimeouts): BackendServerClient {
-  const agent = new Agent({
+  const agent = createResettingAgent({
     connect: { timeout: timeouts.connectMs },
     pipelining: 1,
     headersTimeout: timeouts.headersMs,
--- a/src/adapters/engine/index.ts
+++ b/src/adapters/engine/index.ts
@@ -1,5 +1,5 @@
-import { request } from 'undici';
 import { z } from 'zod';
+import { createResettingAgent } from '../http/createResettingAgent/index.js';
 import { EngineControlError } from '../../errors/index.js';
 import { ItemKind, ReportedState, type EngineControl } from '../../ports/engine.js';
 
@@ -28,9 +28,13 @@
 
 /** Creates an engine control that sends orders and reads reports over HTTP. */
 export function createEngineControl(timeoutMs = 1000): EngineControl {
+  const agent = createResettingAgent();
   const requestJson = async <T>(url: string, schema: z.ZodType<T>, order?: unknown): Promise<T> => {
     try {
-      const { statusCode, body } = await request(url, {
+      const { origin, pathname, search } = new URL(url);
+      const { statusCode, body } = await agent.request({
+        origin,
+        path: `${pathname}${search}`,
         method: order === undefined ? 'GET' : 'POST',
         headers: { 'content-type': 'application/json' },
         ...(order === undefined ? {} : { body: JSON.stringify(order) }),
--- a/src/ports/modelOrderClient.ts
+++ b/src/ports/modelOrderClient.ts
@@ -51,6 +51,8 @@
     order: ModelOrder,
     /** Asked again right before the order is written; where it returns false, nothing is sent. */
     mayStillSend: () => boolean,
+    /** Abandons the order: an unanswered one resets its connection, one that waits is not sent. */
+    signal?: AbortSignal,
   ) => Promise<OrderOutcome>;
   /** Reads the report of an engine; undefined when none arrived. */
   readReport: (server: ServerEndpoint) => Promise<ModelReport | undefined>;
--- a/src/serving/createEngineController/_lib/createOrderSender.ts
+++ b/src/serving/createEngineController/_lib/createOrderSender.ts
@@ -27,6 +27,8 @@
   getServer: () => BackendServer;
   /** Whether the engine may be sent anything: it neither leaves nor wants a pause. */
   mayCall: () => boolean;
+  /** Abandons the order in flight when the leadership is lost or the engine is gone. */
+  signal: AbortSignal;
 }
 
 /** Creates the order sender of an engine. */
@@ -47,7 +49,7 @@
       lastOrderAtMs = clock.monotonicMs();
       const order = { ...wanted, expectedCount, holder, fence };
       const mayStillSend = (): boolean => options.isLeadershipConfirmed() && mayCall();
-      const outcome = await orders.send(server, order, mayStillSend);
+      const outcome = await orders.send(server, order, mayStillSend, options.signal);
       metrics.countOrder(wanted.action, outcome);
       const isSent = outcome !== OrderOutcome.notSent;
       log.info(
--- a/src/serving/createEngineController/index.ts
+++ b/src/serving/createEngineController/index.ts
@@ -1,4 +1,5 @@
 import { setTimeout as wait } from 'node:timers/promises';
+import { isAborted } from '../../common/isAborted.js';
 import { chooseAdapterToEvict } from '../../decisions/replicas/chooseAdapterToEvict/index.js';
 import { OrderOutcome, type ModelOrder, type ModelReport } from '../../ports/modelOrderClient.js';
 import type { AdapterGrant } from '../types.js';
@@ -38,7 +39,7 @@
   let unconfirmed = 0;
   /** Adapters, as `MODEL/ADAPTER`, that hosts found missing since the last report. */
   const missing = new Set<string>();
-  let isClosed = false;
+  const closing = new AbortController();
   /** When the load of recently ordered adapters is expected to be complete. */
   const readyAtMs = new Map<string, number>();
   let loading: string | undefined;
@@ -80,8 +81,13 @@
   };
 
   const mayCall = (): boolean =>
-    !isClosed && !server.isLeaving && getPauseMs(server.incarnation) === 0;
-  const sender = createOrderSender({ ...options, getServer: () => server, mayCall });
+    !closing.signal.aborted && !server.isLeaving && getPauseMs(server.incarnation) === 0;
+  const sender = createOrderSender({
+    ...options,
+    getServer: () => server,
+    mayCall,
+    signal: closing.signal,
+  });
   const sendOrder = (
     action: ModelOrder['action'],
     model: string,
@@ -179,7 +185,7 @@
     const startedAtMs = clock.monotonicMs();
     while (clock.monotonicMs() - startedAtMs < timeoutMs) {
       await waitMilliseconds(REPORT_POLL_INTERVAL_MS);
-      if (isClosed || server.isLeaving) return false;
+      if (isAborted(closing.signal) || server.isLeaving) return false;
       if (!mayCall()) continue;
       const report = await orders.readReport(server);
       if (report === undefined) continue;
@@ -275,7 +281,7 @@
       }
     },
     close: () => {
-      isClosed = true;
+      closing.abort();
     },
   };
 }
--- a/src/serving/createEngineController/types.ts
+++ b/src/serving/createEngineController/types.ts
@@ -55,6 +55,6 @@
   recordMissingAdapter: (adapter: string) => void;
   /** Unloads some models, then loads one; resolves to whether that one is loaded. */
   replaceModels: (load: string, unload: readonly string[]) => Promise<boolean>;
-  /** Stops sending orders, as the engine was deregistered or has restarted. */
+  /** Stops sending orders and abandons the one in flight: the engine is gone, or another host may lead. */
   close: () => void;
 }
--- a/tests/orders.test.ts
+++ b/tests/orders.test.ts
@@ -1,5 +1,6 @@
 import t from 'tap';
-import { createModelOrderClient } from '../platform/modelOrderClient.js';
+import { LEASE_MARGIN_MS } from '#dist/decisions/leadership/isLeaseValid/index.js';
+import { createModelOrderClient, ORDER_TIMEOUT_MS } from '../platform/modelOrderClient.js';
 import { startRawServer } from './support/rawServer.js';
 
 const ORDER = {
@@ -52,3 +53,10 @@
   t.equal(await client.send(address, ORDER, () => true), 'accepted');
   t.equal(count(), 3);
 });
+
+// Until its reset, TCP may deliver an order; another host may lead once the lease has ended.
+t.test('an unanswered order is abandoned within the lease under which it was sent', (t) => {
+  const timeoutMs: number = ORDER_TIMEOUT_MS;
+  t.ok(timeoutMs < LEASE_MARGIN_MS);
+  t.end();
+});
