Bound the leader's wait for an adapter

Cause: the leader awaited its own grants without a limit, and each order queued behind all earlier ones of its engine, of which every unanswered one takes 1 to 1.5 s. Other hosts give up after 700 ms, but their orders stayed in the queue.

- createGrantWaits: the wait ends after 700 ms, at the deadline or when the caller disconnects, at the leader as at the other hosts.
- createOrderQueue, computeGrantDelayMs: a request is rejected at once (503 with Retry-After) if the queue shows that its grant comes too late, shares the queued order for the same adapter, and is dropped from the queue once no caller waits.
- createEngineController: an engine that leaves an order or report unanswered gets no adapter orders until it answers.
Requests for its adapters start a refresh in the background.

Same cause elsewhere: the sleep until a granted adapter is ready did not end with the request, which is fixed here. Reservations (500 ms or less), trials (500 ms), waits for models (computeModelWaitMs) and for the list of servers (100 ms) have limits.

--- a/src/serving/createEngineController/index.ts
+++ b/src/serving/createEngineController/index.ts
@@ -1,9 +1,10 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { chooseAdapterToEvict } from '../../decisions/replicas/chooseAdapterToEvict/index.js';
 import { OrderOutcome, type ModelOrder, type ModelReport } from '../../ports/modelOrderClient.js';
-import type { AdapterGrant } from '../types.js';
+import type { AdapterGrant, GrantWait } from '../types.js';
 import type { EngineController, EngineControllerOptions } from './types.js';
 import { createOrderSender } from './_lib/createOrderSender.js';
+import { createOrderQueue } from './_lib/createOrderQueue.js';
 import {
   computeReservedMb,
   createLoadedModels,
@@ -21,6 +22,7 @@
 // An unanswered load is ordered again; once that is accepted, a late first order is refused, as its
 // count differs.
 const MAX_LOAD_ATTEMPTS = 3;
+const UNLIMITED_WAIT: GrantWait = { untilMs: Infinity, isWanted: () => true };
 
 export type { EngineController } from './types.js';
 
@@ -45,7 +47,9 @@
   let isStateUncertain = false;
   let isReplacing = false;
   let registrationAppliedAtMs = -Infinity;
-  let queueTail: Promise<unknown> = Promise.resolve();
+  /** Whether the engine left the last request for a report unanswered. */
+  let isSilent = false;
+  const { enqueue, enqueueLoad } = createOrderQueue(clock);
 
   const findModel = (model: string) => pool.models.find(({ name }) => name === model);
 
@@ -65,6 +69,7 @@
   applyModels(server.models);
 
   const applyReport = (report: ModelReport): void => {
+    isSilent = false;
     applyModels(report.models);
     // The models of a busy engine may change at any moment, without another order.
     orderCount = report.isBusy ? undefined : report.orderCount;
@@ -72,13 +77,6 @@
     missing.clear();
   };
 
-  /** Runs tasks one after the other, as the engine accepts one order at a time. */
-  const enqueue = <T>(task: () => Promise<T>): Promise<T> => {
-    const result = queueTail.then(task);
-    queueTail = result.catch(() => undefined);
-    return result;
-  };
-
   const mayCall = (): boolean =>
     !isClosed && !server.isLeaving && getPauseMs(server.incarnation) === 0;
   const sender = createOrderSender({ ...options, getServer: () => server, mayCall });
@@ -96,8 +94,10 @@
   const refreshState = async (delayMs = MAX_REPORT_LAG_MS): Promise<boolean> => {
     isStateUncertain = true;
     await waitMilliseconds(delayMs);
-    const report = mayCall() ? await orders.readReport(server) : undefined;
+    const isCalled = mayCall();
+    const report = isCalled ? await orders.readReport(server) : undefined;
     if (report === undefined) {
+      isSilent = isCalled;
       // The state is unknown, so that the next order refreshes it first.
       orderCount = undefined;
       isStateUncertain = false;
@@ -106,7 +106,7 @@
     applyReport(report);
     // An order of the previous leader may still be running.
     isStateUncertain = report.isBusy && !isReplacing;
-    if (isStateUncertain) void enqueue(() => refreshState());
+    if (isStateUncertain) startRefresh();
     log.info(
       { server: server.id, orderCount, isBusy: report.isBusy, models: [...models.keys()] },
       'engine state refreshed',
@@ -114,6 +114,11 @@
     return orderCount !== undefined;
   };
 
+  const startRefresh = (): void => {
+    isStateUncertain = true;
+    void enqueue(() => refreshState());
+  };
+
   /** Ensures that orders may be sent and that the engine's state is known. */
   const ensureReady = async (): Promise<boolean> => {
     if (!mayCall() || !(await confirmLeadership())) return false;
@@ -148,7 +153,8 @@
   };
 
   const loadAdapter = async (model: string, adapter: string): Promise<AdapterGrant | undefined> => {
-    if (!(await ensureReady())) return undefined;
+    // An earlier order is unanswered; the refresh after it is queued.
+    if (isStateUncertain || !(await ensureReady())) return undefined;
     const loaded = models.get(model);
     if (loaded === undefined || unloading.has(model)) return undefined;
     if (loaded.has(adapter)) return grant(loaded, model, adapter);
@@ -166,8 +172,7 @@
     }
     if (outcome !== OrderOutcome.refused) {
       unconfirmed += 1;
-      isStateUncertain = true;
-      void enqueue(() => refreshState());
+      startRefresh();
     }
     return undefined;
   };
@@ -246,13 +251,16 @@
       ),
     isFree: () =>
       loading === undefined && unloading.size === 0 && !isStateUncertain && !server.isLeaving,
-    acquireAdapter: (model, adapter) => {
+    acquireAdapter: (model, adapter, grantWait = UNLIMITED_WAIT) => {
       const loaded = models.get(model);
       const isLoaded = loaded?.has(adapter) === true && !missing.has(`${model}/${adapter}`);
       if (isLoaded && !unloading.has(model)) return Promise.resolve(grant(loaded, model, adapter));
       // No adapter orders while models are replaced.
       if (isStateUncertain || isReplacing || server.isLeaving) return Promise.resolve(undefined);
-      return enqueue(() => loadAdapter(model, adapter));
+      // Skipped until it answers again; callers do not wait for that.
+      if (isSilent) startRefresh();
+      if (isSilent) return Promise.resolve(undefined);
+      return enqueueLoad(`${model}/${adapter}`, grantWait, () => loadAdapter(model, adapter));
     },
     recordMissingAdapter: (name) => {
       if (clock.monotonicMs() - sender.getLastOrderAtMs() < MAX_REPORT_LAG_MS) return;
--- a/src/serving/createEngineController/types.ts
+++ b/src/serving/createEngineController/types.ts
@@ -3,7 +3,7 @@
 import type { ModelOrderClient } from '../../ports/modelOrderClient.js';
 import type { BackendServer, EnginePool } from '../../ports/serving.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
-import type { AdapterGrant } from '../types.js';
+import type { AdapterGrant, GrantWait } from '../types.js';
 
 /** Options of an engine controller. */
 export interface EngineControllerOptions {
@@ -49,8 +49,15 @@
   computeUsedMb: () => number;
   /** Whether the engine can start replacing models now. */
   isFree: () => boolean;
-  /** Grants an adapter, loading it if needed; undefined when it cannot be loaded now. */
-  acquireAdapter: (model: string, adapter: string) => Promise<AdapterGrant | undefined>;
+  /**
+   * Grants an adapter, loading it if needed; undefined when it cannot be loaded now, or not while a
+   * caller waits for it.
+   */
+  acquireAdapter: (
+    model: string,
+    adapter: string,
+    wait?: GrantWait,
+  ) => Promise<AdapterGrant | undefined>;
   /** Records that a host found `MODEL/ADAPTER` missing, to be checked before the next order. */
   recordMissingAdapter: (adapter: string) => void;
   /** Unloads some models, then loads one; resolves to whether that one is loaded. */
--- a/src/serving/createFleetMember/_lib/createAdapterRequests.ts
+++ b/src/serving/createFleetMember/_lib/createAdapterRequests.ts
@@ -1,5 +1,6 @@
 import type { FleetMessage } from '../../fleetMessages.js';
 import type { AdapterGrant, AdapterRequest } from '../../types.js';
+import { GRANT_TIMEOUT_MS } from '../../types.js';
 import { createPendingReplies } from './createPendingReplies.js';
 
 /** Adapter requests to the leader that are not answered yet. */
@@ -10,23 +11,13 @@
   settle: (grant: Extract<FleetMessage, { type: 'grant' }>) => void;
 }
 
-const GRANT_TIMEOUT_MS = 700; // one order, one refresh of the engine's state and two messages
-
-/** Creates the adapter requests of a host; concurrent ones for the same adapter are merged. */
+/** Creates the adapter requests of a host. */
 export function createAdapterRequests(send: (message: FleetMessage) => boolean): AdapterRequests {
   const replies = createPendingReplies<AdapterGrant>(GRANT_TIMEOUT_MS);
-  const pending = new Map<string, Promise<AdapterGrant | undefined>>();
   return {
     request: ({ model, adapter, servers, missing }) => {
-      const key = `${model}/${adapter}`;
-      const existing = pending.get(key);
-      if (existing !== undefined) return existing;
       const message = { model, adapter, servers: [...servers], missing: [...missing] };
-      const grant = replies
-        .request((id) => send({ type: 'wish', id, ...message }))
-        .finally(() => pending.delete(key));
-      pending.set(key, grant);
-      return grant;
+      return replies.request((id) => send({ type: 'wish', id, ...message }));
     },
     settle: ({ id, server, readyInMs }) =>
       replies.settle(id, server === undefined ? undefined : { server, readyInMs }),
--- a/src/serving/createFleetMember/_lib/createPlacementClient.ts
+++ b/src/serving/createFleetMember/_lib/createPlacementClient.ts
@@ -5,6 +5,7 @@
 import type { FleetLeader } from '../../startFleetLeader/index.js';
 import type { PlacementClient } from '../../types.js';
 import type { AdapterRequests } from './createAdapterRequests.js';
+import { createGrantWaits } from './createGrantWaits.js';
 
 /** Options of the placement client. */
 export interface PlacementClientOptions extends Pick<PlacementClient, 'recordDemand'> {
@@ -25,9 +26,15 @@
 /** Creates this host's client for what the leader places on engines. */
 export function createPlacementClient(options: PlacementClientOptions): PlacementClient {
   const { clock, serverRegistry, adapterRequests, getLeader } = options;
+  const grantWaits = createGrantWaits();
   return {
-    requestAdapter: (request) =>
-      getLeader()?.grantAdapter(request) ?? adapterRequests.request(request),
+    requestAdapter: (request, caller) =>
+      grantWaits.waitForGrant(
+        `${request.model}/${request.adapter}`,
+        caller,
+        (isWanted) =>
+          getLeader()?.grantAdapter(request, isWanted) ?? adapterRequests.request(request),
+      ),
     recordDemand: options.recordDemand,
     getLoadingMs: (service, model) =>
       Math.max(0, (options.findReadyAtMs(`${service}/${model}`) ?? 0) - clock.monotonicMs()),
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -44,6 +44,15 @@
   );
 }
 
+/**
+ * Computes the milliseconds in which a request may still be sent to a server. A stopping host refuses
+ * in time what it could not begin before its end.
+ */
+function computeSendableMs(state: RequestState): number {
+  const { clock, getLastSendAtMs } = state.context;
+  return Math.min(computeRemainingMs(state), getLastSendAtMs() - clock.monotonicMs());
+}
+
 /** Ranks the servers of a request; waits for a model that no engine holds yet if that is worth it. */
 async function findServers(state: RequestState): Promise<RankedServer[]> {
   const { context, request, response } = state;
@@ -51,9 +60,10 @@
   if (ranked.length > 0 || request.model === undefined) return ranked;
   const expectedMs = context.placement.estimateModelMs(request.service, request.model);
   if (expectedMs === undefined) return [];
-  // A stopping host refuses in time what it could not begin before its end.
-  const untilStopMs = context.getLastSendAtMs() - context.clock.monotonicMs();
-  const patienceMs = Math.min(computePatienceMs(request, computeRemainingMs(state)), untilStopMs);
+  const patienceMs = Math.min(
+    computePatienceMs(request, computeRemainingMs(state)),
+    computeSendableMs(state),
+  );
   const waitMs = computeModelWaitMs({ expectedMs, patienceMs });
   if (waitMs === 0) return [];
   await context.placement.waitForModel(request, waitMs, response.signal, context.getLastSendAtMs);
@@ -90,20 +100,21 @@
 export async function chooseServer(state: RequestState): Promise<ServerSelection | undefined> {
   const { context, request } = state;
   const { model, adapter } = request;
+  const { signal } = state.response;
   const ranked = await findServers(state);
   const best = ranked[0];
   if (best === undefined) return undefined;
   if (model === undefined || adapter === undefined || best.candidate.holdsAdapter)
     return toServerSelection(state, ranked, best.candidate.id);
   const servers = ranked.slice(0, MAX_ADAPTER_CANDIDATES).map(({ candidate }) => candidate.id);
-  const grant = await context.placement.requestAdapter({
-    model,
-    adapter,
-    servers,
-    missing: [...state.missing],
-  });
+  const missing = [...state.missing];
+  const grant = await context.placement.requestAdapter(
+    { model, adapter, servers, missing },
+    { remainingMs: computeSendableMs(state), signal },
+  );
   if (grant !== undefined) {
-    if (grant.readyInMs > 0) await sleep(grant.readyInMs);
+    const readyInMs = Math.min(grant.readyInMs, computeSendableMs(state));
+    if (readyInMs > 0) await sleep(readyInMs, undefined, { signal }).catch(() => undefined);
     context.serverRegistry.recordAdapterState(grant.server, model, adapter, true);
     // It may have announced its leave since it was chosen.
     if (context.serverRegistry.findServer(grant.server)?.isLeaving === true)
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -16,6 +16,7 @@
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
 import { syncControllers } from './_lib/syncControllers.js';
+import { GRANT_TIMEOUT_MS } from '../types.js';
 import type { FleetLeader, FleetLeaderOptions } from './types.js';
 
 export type { FleetLeader, FleetLeaderOptions } from './types.js';
@@ -220,15 +221,18 @@
         };
       };
     },
-    grantAdapter: async ({ model, adapter, servers: wanted, missing }) => {
+    grantAdapter: async ({ model, adapter, servers: wanted, missing }, isWanted = () => true) => {
+      const untilMs = clock.monotonicMs() + GRANT_TIMEOUT_MS;
       for (const id of missing) controllers.get(id)?.recordMissingAdapter(`${model}/${adapter}`);
       for (const id of wanted) {
-        const grant = await controllers.get(id)?.acquireAdapter(model, adapter);
+        if (clock.monotonicMs() >= untilMs || !isWanted()) break;
+        const wait = { untilMs, isWanted };
+        const grant = await controllers.get(id)?.acquireAdapter(model, adapter, wait);
         if (grant !== undefined) return grant;
       }
       log.info(
         { model, adapter, wanted, fence },
-        'adapter not granted: requested engines are busy, full or cannot be sent orders yet',
+        'adapter not granted: requested engines are busy, full, unresponsive or cannot be sent orders yet',
       );
       return undefined;
     },
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -61,8 +61,14 @@
     hosts: number,
     isCurrent: boolean,
   ) => (host: string) => Omit<FleetView, 'isStandby'>;
-  /** Grants an adapter on the first of the requested servers that can provide it. */
-  grantAdapter: (request: AdapterRequest) => Promise<AdapterGrant | undefined>;
+  /**
+   * Grants an adapter on the first of the requested servers that can provide it while a caller waits
+   * for it; `isWanted` tells whether one still does, for requests of this host.
+   */
+  grantAdapter: (
+    request: AdapterRequest,
+    isWanted?: () => boolean,
+  ) => Promise<AdapterGrant | undefined>;
   /** Reserves one request to a server with a request limit. */
   reserveRequest: RequestSchedules['reserve'];
   /** Grants a trial of quarantined prompt parts to one request with them. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -23,10 +23,32 @@
   readyInMs: number;
 }
 
+/** Longest wait for the grant of an adapter, at the host that leads and at the others. */
+export const GRANT_TIMEOUT_MS = 700; // one order, one refresh of the engine's state and two messages
+
+/** How long one caller can use the grant of an adapter. */
+export interface CallerWait {
+  /** Milliseconds until the request has to be answered. */
+  remainingMs: number;
+  /** Aborts when the caller disconnects. */
+  signal: AbortSignal;
+}
+
+/** How long a grant is of use to the callers that wait for it. */
+export interface GrantWait {
+  /** Monotonic time after which no caller waits any more. */
+  untilMs: number;
+  /** Whether a caller still waits. */
+  isWanted: () => boolean;
+}
+
 /** Requests to the leader, which places models and adapters on engines. */
 export interface PlacementClient {
-  /** Asks for an adapter; undefined when no engine can load it now, or there is no leader. */
-  requestAdapter: (request: AdapterRequest) => Promise<AdapterGrant | undefined>;
+  /**
+   * Asks for an adapter; undefined when no engine can load it in time, there is no leader, or the
+   * caller has disconnected.
+   */
+  requestAdapter: (request: AdapterRequest, wait: CallerWait) => Promise<AdapterGrant | undefined>;
   /** Adds a request's work, in equivalent prompt tokens, to the demand for a model. */
   recordDemand: (service: string, model: string, work: number) => void;
   /** Milliseconds until a further replica of a model is expected to be loaded; 0 when none is being loaded. */
