--- a/tests/endlessAnswers.test.ts
+++ b/tests/endlessAnswers.test.ts
@@ -42,6 +42,34 @@
     t.ok(server.countWritten() - before < MAX_READ_BYTES, `${server.countWritten()} bytes`);
   });
 
+const startRefusal = (socket: Socket, id: string, status: string): void => {
+  const framing = 'Transfer-Encoding: chunked\r\n';
+  socket.write(`HTTP/1.1 ${status}\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\n${framing}\r\n`);
+};
+
+const endlessRefusals: Record<string, (socket: Socket, id: string) => void> = {
+  'that is silent': (socket, id) => startRefusal(socket, id, '503 Busy'),
+  'that comes byte by byte': (socket, id) => {
+    startRefusal(socket, id, '421 Misdirected Request');
+    const timer = setInterval(() => socket.write('1\r\nx\r\n'), 50);
+    socket.once('close', () => clearInterval(timer));
+  },
+  'that comes fast': (socket, id) => {
+    startRefusal(socket, id, '503 Busy');
+    writeWithoutEnd(socket, `400\r\n${KILOBYTE}\r\n`);
+  },
+};
+
+// The attempt is over with the head of the refusal, after which nothing else would end its connection.
+for (const [name, answer] of Object.entries(endlessRefusals))
+  t.test(`closes the connection of a refusal with a body ${name}`, async (t) => {
+    const { server, send } = await startHostWithRawServer(t, answer);
+    const before = server.countWritten();
+    t.equal((await send('/certs/1'))?.status, 503);
+    await waitUntil('the connections are closed', () => server.countOpen() === 0, 5000);
+    t.ok(server.countWritten() - before < MAX_READ_BYTES, `${server.countWritten()} bytes`);
+  });
+
 t.test('bounds a plain response without end', async (t) => {
   const { server, send } = await startHostWithRawServer(t, (socket, id) => {
     const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n${SEAL}Transfer-Encoding: chunked\r\n\r\n`;
