Refund a request that its servers refused

A request with a Token-Count far above the burst of its organisation was charged in full, was refused by its engines, and left the bucket far below zero: the organisation got 429 for (Token-Count - burst) / rate seconds, with retry times to match, for a request that never ran.

Cause: only a request that was sent to no server was refunded. Now one is refunded unless an attempt may have run it (mayHaveRun): a refusal or a connection that was never made does not count, any other end of an attempt does. Two things went wrong with a refund of that size: retry times stayed those of the charge, and the leader computed a share below zero for the host and above one for the others, as admissions decay before they are refunded. Both are corrected.

While the request is on its way the bucket stays charged.

The work of a refused request stays in the demand for its model, which decays. Found by reading.

--- a/src/serving/createFleetTokenBuckets/index.ts
+++ b/src/serving/createFleetTokenBuckets/index.ts
@@ -131,7 +131,8 @@
           (bucket.admitted.get(report.host) ?? 0) * SHARE_DECAY_PER_REPORT +
           tokens -
           alreadyCounted;
-        bucket.admitted.set(report.host, recent);
+        // What a host refunds has decayed since it was admitted.
+        bucket.admitted.set(report.host, Math.max(0, recent));
       }
     },
     computeLevels: (host) => {
--- a/src/serving/createFleetTokenBuckets/test.ts
+++ b/src/serving/createFleetTokenBuckets/test.ts
@@ -39,6 +39,18 @@
   t.end();
 });
 
+// The other hosts would be given shares above 1, and the host that refunded one below 0.
+t.test('a refund of more than the recent admissions leaves no negative share', (t) => {
+  const clock = { monotonicMs: () => 0, wallMs: () => 0 };
+  const buckets = createFleetTokenBuckets({ clock, levels: new Map([['depots', 8000]]) });
+  buckets.setOrganisations([depots]);
+  for (const tokens of [0, 100_000, 0]) buckets.recordAdmissions(report('a', tokens));
+  for (const tokens of [0, 3000]) buckets.recordAdmissions(report('b', tokens));
+  t.equal(buckets.computeLevels('a').shares.depots, 0);
+  t.equal(buckets.computeLevels('b').shares.depots, 1);
+  t.end();
+});
+
 t.test('needs a level update when much was spent since the last one', (t) => {
   const clock = { monotonicMs: () => 0, wallMs: () => 0 };
   const buckets = createFleetTokenBuckets({ clock, levels: new Map([['depots', 8000]]) });
--- a/src/serving/createOrganisationRateLimiter/index.ts
+++ b/src/serving/createOrganisationRateLimiter/index.ts
@@ -168,6 +168,8 @@
       if (bucket === undefined) return;
       bucket.level = Math.min(bucket.burst, bucket.level + tokens);
       bucket.admitted -= tokens;
+      // Retry times that were given since the charge count on its tokens to be refilled first.
+      if (bucket.rate > 0) bucket.lastRetryAtMs -= (tokens / bucket.rate) * 1000;
     },
     getAdmitted: () => new Map([...buckets].map(([name, { admitted }]) => [name, admitted])),
     getShares: () => new Map([...buckets].map(([name, { share }]) => [name, share])),
--- a/src/serving/createOrganisationRateLimiter/test.ts
+++ b/src/serving/createOrganisationRateLimiter/test.ts
@@ -131,6 +131,23 @@
   t.end();
 });
 
+// Callers would otherwise be told to wait for tokens that a large request has given back.
+t.test('a refund takes back the retry times that its charge caused', (t) => {
+  let nowMs = 0;
+  const limiter = createOrganisationRateLimiter({
+    clock: { monotonicMs: () => nowMs, wallMs: () => 0 },
+  });
+  limiter.setHostCount(1);
+  nowMs = 5000;
+  t.ok(limiter.charge(depots, 100_000).isAdmitted);
+  t.notOk(limiter.charge(depots, 5000).isAdmitted);
+  limiter.refund('depots', 100_000);
+  t.ok(limiter.charge(depots, 10_000).isAdmitted);
+  const result = limiter.charge(depots, 5000);
+  t.ok(!result.isAdmitted && result.retryAfterMs <= 1000, JSON.stringify(result));
+  t.end();
+});
+
 t.test('does not limit an organisation with a rate of 0', (t) => {
   const limiter = createOrganisationRateLimiter({
     clock: { monotonicMs: () => 0, wallMs: () => 0 },
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -44,6 +44,8 @@
   reservations: number;
   /** Attempts that a server may have executed. */
   attemptsRun: number;
+  /** Whether an attempt had any other end than that its server did not run it; the request is charged then. */
+  mayHaveRun: boolean;
   /** Whether a retry was taken from the budget while the current attempt ran. */
   hasReservedRetry: boolean;
   /** Servers that rejected the request for lack of the adapter. */
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -7,10 +7,10 @@
   type CallerResponse,
   type ServingRequest,
 } from '../../ports/serving.js';
-import { ServerOutcome } from '../createServerRegistry/index.js';
-import { AttemptOutcome, runAttempt, type AttemptResult } from '../runAttempt/index.js';
+import { AttemptOutcome, runAttempt } from '../runAttempt/index.js';
 import type { ServingContext } from '../types.js';
 import { admitToServer, ServerAdmission } from './_lib/admitToServer.js';
+import { mayHaveRun, toServerOutcome } from './_lib/attemptResults.js';
 import { chooseServer, type ServerSelection } from './_lib/chooseServer.js';
 import {
   computeRemainingMs,
@@ -49,17 +49,6 @@
   }
 }
 
-/** Maps the result of an attempt to its effect on the health of the server. */
-function toServerOutcome({ outcome, failure, status }: AttemptResult): ServerOutcome {
-  if (outcome === AttemptOutcome.served) return ServerOutcome.served;
-  if (outcome === AttemptOutcome.serverError || outcome === AttemptOutcome.relayed)
-    return ServerOutcome.failed;
-  if (outcome === AttemptOutcome.timedOut && status === 0) return ServerOutcome.failed;
-  if (outcome !== AttemptOutcome.failed) return ServerOutcome.neutral;
-  if (failure === AttemptFailure.unreachable) return ServerOutcome.unreachable;
-  return failure === AttemptFailure.broken ? ServerOutcome.failed : ServerOutcome.neutral;
-}
-
 /** Lists the model and the adapter that a request uses, as `MODEL` and `MODEL/ADAPTER`. */
 function listUsedNames({ model, adapter }: ServingRequest): string[] {
   if (model === undefined) return [];
@@ -116,6 +105,7 @@
     isServerSilent: () => context.serverRegistry.isServerSilent(server.id),
   });
   trackedRequest.release(toServerOutcome(result));
+  state.mayHaveRun ||= mayHaveRun(result);
   if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
@@ -245,6 +235,7 @@
     sends: 0,
     reservations: 0,
     attemptsRun: 0,
+    mayHaveRun: false,
     hasReservedRetry: false,
     lastReason: '',
   };
@@ -269,6 +260,6 @@
     context.placement.recordDemand(service, model, work);
   }
   await serveUntilDone(state);
-  if (state.sends === 0 && organisation !== undefined)
+  if (!state.mayHaveRun && organisation !== undefined)
     context.rateLimiter.refund(organisation.name, chargedTokens);
 }
