Count models that the configuration no longer lists

After a configuration that drops a model, the leader counted that model as 0 MB on the engines that still held it, and could order a load above an engine's memory. The planner also took the memory that unloading it frees as 0, so that a model in demand found no engine.

Cause: computeReservedMb looked sizes up in the present configuration alone. createModelSizes keeps the size of a dropped model, and of its adapters, as long as the engine holds it. A leader that never saw it in a configuration takes such models to fill what the others leave of the engine's memory.

A listed model whose size changes counts with its new size at once, as before: that is what operators say of it.

Same cause elsewhere: the planner's findEviction, changed here. The ledger of the placement program keeps bytes of items and does not look them up. Found by reading.

--- a/src/decisions/replicas/planReplicaMove/_lib/findEviction.ts
+++ b/src/decisions/replicas/planReplicaMove/_lib/findEviction.ts
@@ -66,7 +66,7 @@
     .sort((one, other) => one.loss - other.loss);
   for (const { name, loss: replicaLoss } of evictable) {
     if (freeMb >= model.weightsMb) break;
-    freeMb += context.models.get(name)?.weightsMb ?? 0;
+    freeMb += context.models.get(name)?.weightsMb ?? engine.delistedMb?.get(name) ?? 0;
     loss += replicaLoss;
     unload.push(name);
   }
--- a/src/decisions/replicas/types.ts
+++ b/src/decisions/replicas/types.ts
@@ -9,6 +9,8 @@
   copies?: ReadonlySet<string>;
   /** Memory in use: models that are loaded, being loaded or being unloaded, and space for adapters. */
   usedMb: number;
+  /** Sizes of its models that the configuration does not list. */
+  delistedMb?: ReadonlyMap<string, number>;
   capacityMb: number;
   /** Requests in flight per slot, or tokens per memory if that is more; above 1 requests wait. */
   utilisation: number;
--- a/src/serving/createEngineController/_lib/createLoadedModels.ts
+++ b/src/serving/createEngineController/_lib/createLoadedModels.ts
@@ -1,5 +1,3 @@
-import type { EnginePool } from '../../../ports/serving.js';
-
 /** A model and its loaded adapters, as listed in an engine's report or registration. */
 export interface ModelWithAdapters {
   name: string;
@@ -57,11 +55,3 @@
       ),
   };
 }
-
-/** Computes the megabytes of the given models and of all adapter slots at the largest adapter. */
-export function computeReservedMb(pool: EnginePool, modelNames: Iterable<string>): number {
-  const sizes = new Map(pool.models.map(({ name, weightsMb }) => [name, weightsMb]));
-  const weights = [...modelNames].reduce((sum, model) => sum + (sizes.get(model) ?? 0), 0);
-  const largest = Math.max(0, ...pool.models.map(({ adapterMb }) => adapterMb));
-  return weights + largest * pool.adapterSlots;
-}
--- a/src/serving/createEngineController/index.ts
+++ b/src/serving/createEngineController/index.ts
@@ -5,11 +5,8 @@
 import type { AdapterGrant } from '../types.js';
 import type { EngineController, EngineControllerOptions } from './types.js';
 import { createOrderSender } from './_lib/createOrderSender.js';
-import {
-  computeReservedMb,
-  createLoadedModels,
-  type ModelWithAdapters,
-} from './_lib/createLoadedModels.js';
+import { createLoadedModels, type ModelWithAdapters } from './_lib/createLoadedModels.js';
+import { createModelSizes } from './_lib/createModelSizes.js';
 
 const MAX_REPORT_LAG_MS = 500; // a report describes the engine as of some hundred milliseconds ago
 const MAX_REGISTRATION_LAG_MS = 3000; // engines update it every second or two, and it lags
@@ -34,6 +31,7 @@
   let orderCount: number | undefined;
   const loadedModels = createLoadedModels();
   const { models } = loadedModels;
+  const sizes = createModelSizes(pool);
   const unloading = new Set<string>();
   /** Adapters whose load is unanswered or in progress; they count against the slots. */
   let unconfirmed = 0;
@@ -179,7 +177,7 @@
   };
 
   const fitsInMemory = (model: string): boolean =>
-    computeReservedMb(pool, new Set([...models.keys(), model])) <= pool.weightsMb;
+    sizes.computeReservedMb([...models.keys()], model) <= pool.weightsMb;
 
   const pollUntil = async (isDone: () => boolean, timeoutMs: number): Promise<boolean> => {
     const startedAtMs = clock.monotonicMs();
@@ -239,17 +237,15 @@
     },
     setPool: (next) => {
       pool = next;
+      sizes.setPool(next, [...models.keys(), ...(loading === undefined ? [] : [loading])]);
     },
     getServer: () => server,
     listModels: () => [...models.keys()].filter((model) => !unloading.has(model)),
     listAdapters: loadedModels.listAdapters,
     listUnloadingModels: () => [...unloading],
     getLoadingModel: () => loading,
-    computeUsedMb: () =>
-      computeReservedMb(
-        pool,
-        new Set([...models.keys(), ...(loading === undefined ? [] : [loading])]),
-      ),
+    computeUsedMb: () => sizes.computeReservedMb([...models.keys()], loading),
+    listDelistedMb: () => sizes.listDelistedMb([...models.keys()]),
     isFree: () =>
       loading === undefined && unloading.size === 0 && !isStateUncertain && !server.isLeaving,
     acquireAdapter: (model, adapter) => {
--- a/src/serving/createEngineController/types.ts
+++ b/src/serving/createEngineController/types.ts
@@ -47,6 +47,8 @@
   getLoadingModel: () => string | undefined;
   /** Memory of loaded, loading and unloading models and of all adapter slots, in megabytes. */
   computeUsedMb: () => number;
+  /** Megabytes of the loaded models that the configuration does not list, by name. */
+  listDelistedMb: () => ReadonlyMap<string, number>;
   /** Whether the engine can start replacing models now. */
   isFree: () => boolean;
   /** Grants an adapter, loading it if needed; undefined when it cannot be loaded now. */
--- a/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
+++ b/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
@@ -131,6 +131,7 @@
           copies: new Set(controller.getServer().copies ?? []),
           busyModels: new Set(controller.listModels().filter((model) => isInUse(id, model))),
           usedMb: controller.computeUsedMb(),
+          delistedMb: controller.listDelistedMb(),
           capacityMb: pool.weightsMb,
           // An engine that turns requests away is full, however few it has in flight.
           utilisation: Math.max(utilisations.get(id) ?? 0, 1 - acceptance),
--- a/src/serving/startFleetLeader/_lib/test.ts
+++ b/src/serving/startFleetLeader/_lib/test.ts
@@ -49,6 +49,7 @@
     listUnloadingModels: () => [],
     getLoadingModel: () => loading,
     computeUsedMb: () => (models.length + (loading === undefined ? 0 : 1)) * MODEL_MB,
+    listDelistedMb: () => new Map(),
     isFree: () => loading === undefined,
     acquireAdapter: () => Promise.resolve(undefined),
     recordMissingAdapter: () => undefined,
