Judge connections between hosts by received data

Cause: the idle time-out of 2.5 s (socket.setTimeout) starts again with each write, and both ends write every 200 ms.

- watchReceived: a time-out that only received data restarts.
After a pause of the process, data that has arrived is read first.
- createFleetTransport: both ends give a connection up after 2.5 s without received data.
After 1 s without a report the leader opens another one and closes the old one once the new one is made.
A host that has not answered on a new connection is not suspected again before that one times out.
- Connections under one fencing token are numbered (optional field of the command), so that delayed bytes of an earlier one do not take over again.
The leader ignores a report with a lower number than the last one.
- A connection that is made while the leadership ends is closed, and the end of a replaced connection no longer removes its successor.

--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -160,7 +160,9 @@
       leader?.resetSentState(name);
       connections.set(name, connection);
     },
-    onHostDisconnected: (name) => connections.delete(name),
+    onHostDisconnected: (name, connection) => {
+      if (connections.get(name) === connection) connections.delete(name);
+    },
     onLeaderConnected: () => {
       feeds.recordLeader();
       quarantine.evidence.resetReported();
--- a/src/serving/createFleetTransport/index.ts
+++ b/src/serving/createFleetTransport/index.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 import { createConnection, type PeerConnection } from '../../adapters/peer/createConnection.js';
+import { watchReceived } from '../../adapters/peer/watchReceived.js';
 import { isAborted } from '../../common/isAborted.js';
 import { openServer } from '../../common/openServer.js';
 import { formatError } from '../../errors/index.js';
@@ -31,9 +32,12 @@
   log: Log;
   /** Called, as leader, with each message of a host. */
   onHostMessage: (host: string, message: FleetMessage, connection: FleetConnection) => void;
-  /** Called, as leader, when a connection to a host is open, and when it has ended. */
+  /**
+   * Called, as leader, when a connection to a host is open, and when it has ended. A new connection
+   * replaces an earlier one, which is closed without a call.
+   */
   onHostConnected: (host: string, connection: FleetConnection) => void;
-  onHostDisconnected: (host: string) => void;
+  onHostDisconnected: (host: string, connection: FleetConnection) => void;
   onLeaderConnected: () => void;
   /** Called with each message of the leader. */
   onLeaderMessage: (message: FleetMessage, connection: FleetConnection) => void;
@@ -42,7 +46,9 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const RECONNECT_BACKOFF_MS = 400;
-const IDLE_TIMEOUT_MS = 2500; // several rounds; a connection without traffic counts as lost
+const RECEIVE_TIMEOUT_MS = 2500; // several rounds; a connection without received data counts as lost
+/** A leader opens another connection after five rounds without a report, before views count as missing. */
+const SUSPECT_MS = 1000;
 // A host that the store rejects loses its registration but still gets views for a while.
 const MAX_DEREGISTERED_ATTEMPTS = 40;
 
@@ -58,9 +64,9 @@
   });
 }
 
-/** Closes a connection without traffic, as an unreachable peer sends no reset. */
-function setIdleTimeout(socket: Socket): void {
-  socket.setTimeout(IDLE_TIMEOUT_MS, () => socket.destroy());
+/** Closes a connection on which nothing arrives, as an unreachable peer sends no reset. */
+function setReceiveTimeout(socket: Socket): void {
+  watchReceived(socket, RECEIVE_TIMEOUT_MS, () => socket.destroy());
 }
 
 /** Creates the connections of one host. */
@@ -70,18 +76,21 @@
   const incoming = new Set<FleetConnection>();
   let registeredHosts = new Map<string, FleetHost>();
   let ownFence: number | undefined;
-  let leader: { fence: number; connection: FleetConnection } | undefined;
+  let leader: { fence: number; number: number; connection: FleetConnection } | undefined;
+  let connectionCount = 0;
   const onSent = (): void => undefined;
 
   const handleIncoming = (message: FleetMessage, connection: FleetConnection): void => {
     if (message.type === 'command') {
-      if (leader !== undefined && leader.fence > message.fence) {
+      const { fence, number = Infinity } = message;
+      const isOlder = leader?.fence === fence && leader.number > number;
+      if (leader !== undefined && (leader.fence > fence || isOlder)) {
         connection.close();
         return;
       }
       log.info({ holder: message.host, fence: message.fence }, 'leader connected');
       leader?.connection.close();
-      leader = { fence: message.fence, connection };
+      leader = { fence, number, connection };
       options.onLeaderConnected();
       return;
     }
@@ -89,7 +98,7 @@
   };
 
   const server = createServer({ noDelay: true }, (socket) => {
-    setIdleTimeout(socket);
+    setReceiveTimeout(socket);
     const peer = socket.remoteAddress ?? 'unknown';
     const connection = createConnection(socket, {
       parse: parseFleetMessage,
@@ -108,34 +117,63 @@
     });
   });
 
+  /** Opens a connection to a host as its leader; `suspected` settles once no data arrives. */
+  const openHostConnection = async (
+    host: FleetHost,
+    fence: number,
+    signal: AbortSignal,
+  ): Promise<{ connection: FleetConnection; suspected: Promise<void> }> => {
+    const socket = await openSocket(host);
+    setReceiveTimeout(socket);
+    const connection = createConnection<FleetMessage>(socket, {
+      parse: parseFleetMessage,
+      onMessage: (message, from) => options.onHostMessage(host.name, message, from),
+      onSent,
+      log,
+      peer: host.name,
+    });
+    signal.addEventListener('abort', connection.close, { once: true });
+    void connection.ended.then(() => signal.removeEventListener('abort', connection.close));
+    // The leadership may have ended while the connection was being made.
+    if (isAborted(signal)) connection.close();
+    connectionCount += 1;
+    connection.send({ type: 'command', host: self, fence, number: connectionCount });
+    // A host that has not answered at all is not suspected again at once; its connection times out.
+    const suspected = new Promise<void>((resolve) =>
+      socket.once('data', () => watchReceived(socket, SUSPECT_MS, resolve)),
+    );
+    return { connection, suspected };
+  };
+
   const maintainConnection = async (
     host: FleetHost,
     fence: number,
     signal: AbortSignal,
   ): Promise<void> => {
     let attempts = 0;
+    let current: FleetConnection | undefined;
     while (
       !isAborted(signal) &&
       (registeredHosts.has(host.name) || attempts < MAX_DEREGISTERED_ATTEMPTS)
     ) {
       attempts += 1;
       try {
-        const socket = await openSocket(host);
-        setIdleTimeout(socket);
-        const connection = createConnection(socket, {
-          parse: parseFleetMessage,
-          onMessage: (message, from) => options.onHostMessage(host.name, message, from),
-          onSent,
-          log,
-          peer: host.name,
+        const { connection, suspected } = await openHostConnection(host, fence, signal);
+        const previous = current;
+        current = connection;
+        previous?.close();
+        const ended = connection.ended.then(() => {
+          if (current !== connection) return;
+          current = undefined;
+          options.onHostDisconnected(host.name, connection);
         });
-        signal.addEventListener('abort', connection.close, { once: true });
-        connection.send({ type: 'command', host: self, fence });
         options.onHostConnected(host.name, connection);
-        await connection.ended;
+        await Promise.race([ended, suspected]);
         attempts = 0;
-        signal.removeEventListener('abort', connection.close);
-        options.onHostDisconnected(host.name);
+        if (current === connection) {
+          log.info({ peer: host.name }, 'connection to host is silent, opening another one');
+          continue;
+        }
       } catch (error) {
         // The loop retries; the store reports when the host is deregistered.
         if (attempts === 1)
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -50,7 +50,13 @@
 
 const fleetMessageSchema = z.discriminatedUnion('type', [
   /** Announces the sender as leader; the first message that a leader sends on a connection. */
-  z.object({ type: z.literal('command'), host: name, fence: z.number() }),
+  z.object({
+    type: z.literal('command'),
+    host: name,
+    fence: z.number(),
+    /** Rises with each connection under the fencing token; the highest one is in use. */
+    number: z.number().optional(),
+  }),
   /** State that each host reports to the leader every round. */
   z.object({
     type: z.literal('report'),
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -36,6 +36,12 @@
 // An unreachable host may keep serving until its callers have switched to other hosts.
 const UNREACHABLE_HOST_RETENTION_MS = 10_000;
 
+/** Returns whether a report is one that a host has sent before another one, on an earlier connection. */
+function isOutdatedReport(report: FleetReport, known: FleetReport): boolean {
+  const { number = Infinity } = report;
+  return report.incarnation === known.incarnation && number <= (known.number ?? -Infinity);
+}
+
 /** Starts to lead the fleet under one fencing token. */
 export function startFleetLeader(options: FleetLeaderOptions): FleetLeader {
   const { clock, log, fence } = options;
@@ -140,6 +146,7 @@
     },
     recordReport: (report) => {
       const previous = hosts.get(report.host);
+      if (previous !== undefined && isOutdatedReport(report, previous.report)) return;
       buckets.recordAdmissions(report);
       demand.record(report.demand);
       demand.recordRequests(report.requests);
