Evacuate a data centre by a key in the store

Operators had no way to stop all hosts from using the engines of a data centre: a leave is permanent for an incarnation, and removing registrations ends what runs there.

A key under a prefix of the store, within the one that hosts watch for the configuration, now evacuates the data centre that it names. The leader sends it in its views, at once when it changes. Hosts skip the servers in each choice, look once more before they send a request that has waited, and when its connection is there; the leader sends no orders, polls no reports and plans as if the engines were not there. A host whose set is too old reads the store before it chooses, and one that has none is not ready.

--evacuation-delay-ms is empty by default, which turns all of it off. With it the shortest of the three delays bounds the age of what hosts know.

Each host logs an evacuation and its revocation; the line of a request names the evacuated data centres that its choice skipped, with the age of that. Metrics: bronzelanding_evacuated, bronzelanding_evacuated_requests_running.

--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -235,6 +235,8 @@
   needsFreshConnection?: boolean;
   /** Resumes a stream after the event with this id; takes precedence over that of the request. */
   lastEventId?: string;
+  /** Whether the request may be sent once a connection is there; always by default. */
+  mayStillSend?: () => boolean;
 }
 
 /** Client that sends requests to backend servers, one attempt per call and without retries. */
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -9,6 +9,7 @@
 import { createStoreOutage } from '../../../serving/createStoreOutage/index.js';
 import { createPause } from '../../../common/createPause.js';
 import { createEpochStore } from '../../../serving/createEpochStore/index.js';
+import { createEvacuations } from '../../../serving/createEvacuations/index.js';
 import { createListRefresh } from '../../../serving/createListRefresh/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
@@ -39,10 +40,18 @@
   const incarnation = randomUUID();
   const stopping = new AbortController();
   const { signal } = stopping;
+  const evacuations = createEvacuations({
+    clock,
+    log,
+    prefix: options.evacuationPrefix,
+    // The other hosts go on sending until they know.
+    onChange: () => fleetMember.announceEvacuations(),
+  });
   const serverRegistry = createServerRegistry({
     clock,
     log,
     dataCentre: options.dataCentre,
+    isEvacuated: evacuations.isEvacuated,
     getWaitMs: (id) =>
       Math.max(serverNotices.getPauseMs(id), fleetMember.requestLimiter.getWaitMs(id)),
   });
@@ -97,6 +106,7 @@
     isFirstStart: settings.isFirstStart,
     freshness,
     listAge,
+    evacuations,
     membership: (): Membership => membership,
     onConfiguration: (value) => applyConfiguration(Buffer.from(value), 'peer'),
     onServers: (changes) => serverWatch.applyLeaderChanges(changes),
@@ -111,6 +121,15 @@
       serversPause.end();
     },
   });
+  const evacuationsRefresh = createListRefresh({
+    listAge: evacuations,
+    outage,
+    maximumAgeMs: settings.maximumStalenessMs,
+    requestRead: fleetMember.feeds.resumeWaiters,
+  });
+  metrics.observeEvacuations(
+    () => new Map(evacuations.list().map((name) => [name, serverRegistry.countRunning(name)])),
+  );
   const context: ServingContext = {
     clock,
     log,
@@ -127,7 +146,13 @@
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
-    refreshServers: listRefresh.refresh,
+    refreshServers: async (requestSignal) => {
+      await Promise.all([
+        listRefresh.refresh(requestSignal),
+        evacuationsRefresh.refresh(requestSignal),
+      ]);
+    },
+    evacuations,
     maximumResponseBytes: settings.maximumResponseBytes,
     getLastSendAtMs: () => lastSendAtMs,
   };
@@ -171,16 +196,22 @@
     watchTimeoutMs: freshness.watchTimeoutMs,
     pauseMs: CONFIGURATION_BATCH_DELAY_MS,
     mayWaitForOthers: true,
-    onSnapshot: (items) => {
+    onSnapshot: (items, revision) => {
+      evacuations.applyKeys(items, { revision, isSnapshot: true });
       for (const { key, value } of items)
         if (key === options.configuration.key) applyConfiguration(value, 'store');
     },
-    onChanges: (changes) => {
+    onChanges: (changes, revision) => {
+      evacuations.applyKeys(changes, { revision, isSnapshot: false });
       for (const { key, value } of changes)
         if (key === options.configuration.key && value !== undefined)
           applyConfiguration(value, 'store');
     },
     onStoreResponse: () => fleetMember.recordStoreResponse(StoreWatch.configuration),
+    onComplete: (asOf) => {
+      evacuations.recordComplete(asOf);
+      evacuationsRefresh.recordRead();
+    },
     feed: fleetMember.feeds.changes,
     outage,
   });
@@ -240,7 +271,8 @@
   };
   return {
     callerPort,
-    isReady: () => !isStopping && configuration !== undefined && hasServers,
+    isReady: () =>
+      !isStopping && configuration !== undefined && hasServers && evacuations.isKnown(),
     stop,
   };
 }
--- a/src/programs/fleetEntry/startFleetEntry/types.ts
+++ b/src/programs/fleetEntry/startFleetEntry/types.ts
@@ -36,6 +36,11 @@
   ) => CallerListener;
   /** Store key and watched prefix of the configuration, and the decoder of its value. */
   configuration: { key: string; prefix: string; decode: (value: Buffer) => ServingConfiguration };
+  /**
+   * Store prefix of the keys that evacuate data centres, each followed by the name of one; within the
+   * prefix of the configuration. Undefined in a deployment without evacuations.
+   */
+  evacuationPrefix?: string;
   /** Store prefix of the registered backend servers, and the decoder of their values. */
   servers: { prefix: string; decode: (id: string, value: Buffer) => BackendServer };
   settings: DeploymentSettings;
--- a/src/serving/createEngineController/index.ts
+++ b/src/serving/createEngineController/index.ts
@@ -27,7 +27,7 @@
 /** Creates the controller that sends load and unload orders to one engine. */
 export function createEngineController(options: EngineControllerOptions): EngineController {
   const { clock, log, orders, confirmLeadership, isInUse, getPauseMs } = options;
-  const { waitMilliseconds = wait } = options;
+  const { waitMilliseconds = wait, isEvacuated = () => false } = options;
   let { server, pool } = options;
   /** Number of orders that the engine has accepted; undefined until a report tells it. */
   let orderCount: number | undefined;
@@ -79,8 +79,8 @@
     return result;
   };
 
-  const mayCall = (): boolean =>
-    !isClosed && !server.isLeaving && getPauseMs(server.incarnation) === 0;
+  const isUnusable = (): boolean => server.isLeaving || isEvacuated(server.dataCentre);
+  const mayCall = (): boolean => !isClosed && !isUnusable() && getPauseMs(server.incarnation) === 0;
   const sender = createOrderSender({ ...options, getServer: () => server, mayCall });
   const sendOrder = (
     action: ModelOrder['action'],
@@ -179,7 +179,7 @@
     const startedAtMs = clock.monotonicMs();
     while (clock.monotonicMs() - startedAtMs < timeoutMs) {
       await waitMilliseconds(REPORT_POLL_INTERVAL_MS);
-      if (isClosed || server.isLeaving) return false;
+      if (isClosed || isUnusable()) return false;
       if (!mayCall()) continue;
       const report = await orders.readReport(server);
       if (report === undefined) continue;
@@ -245,8 +245,9 @@
         new Set([...models.keys(), ...(loading === undefined ? [] : [loading])]),
       ),
     isFree: () =>
-      loading === undefined && unloading.size === 0 && !isStateUncertain && !server.isLeaving,
+      loading === undefined && unloading.size === 0 && !isStateUncertain && !isUnusable(),
     acquireAdapter: (model, adapter) => {
+      if (isEvacuated(server.dataCentre)) return Promise.resolve(undefined);
       const loaded = models.get(model);
       const isLoaded = loaded?.has(adapter) === true && !missing.has(`${model}/${adapter}`);
       if (isLoaded && !unloading.has(model)) return Promise.resolve(grant(loaded, model, adapter));
--- a/src/serving/createEngineController/types.ts
+++ b/src/serving/createEngineController/types.ts
@@ -23,6 +23,8 @@
   isInUse: (server: string, adapter: string) => boolean;
   /** Milliseconds for which a server wants no requests of this host, by incarnation. */
   getPauseMs: (incarnation: string) => number;
+  /** Whether nothing may be sent to the engines of a data centre; never by default. */
+  isEvacuated?: (dataCentre: string) => boolean;
   server: BackendServer;
   pool: EnginePool;
   /** Timer that can be replaced by virtual time in tests. */
--- a/src/serving/createFleetMember/_lib/createLeaderFeeds.ts
+++ b/src/serving/createFleetMember/_lib/createLeaderFeeds.ts
@@ -3,7 +3,7 @@
 
 /** The feeds by which this host learns from the leader what it would otherwise read from the store. */
 export interface LeaderFeeds {
-  /** Feed of the configuration. */
+  /** Feed of the configuration and the evacuations; ends as well when the latter have become too old. */
   changes: LeaderFeed;
   /** Feed of the servers; ends as well when the list of servers has become too old. */
   servers: LeaderFeed;
@@ -28,10 +28,12 @@
   feedTimeoutMs: number;
   /** Time without a view of a leader with current watches after which a feed ends. */
   outdatedFeedMs: number;
-  /** Age of the list of servers from which this host reads it itself. */
+  /** Age of the list of servers, or of the evacuations, from which this host reads it itself. */
   maximumListAgeMs: number;
   /** Milliseconds since the list of servers was complete. */
   getListAgeMs: () => number;
+  /** Milliseconds since the set of evacuated data centres was complete; 0 by default. */
+  getEvacuationsAgeMs?: () => number;
   /** Time after the start during which a feed counts as active, as a leader may connect any moment. */
   startGraceMs: number;
   /** The same for the leadership; 0 on a host that is to run for leader at once. */
@@ -41,7 +43,7 @@
 /** Creates the feeds of a host that has just started. */
 export function createLeaderFeeds(options: LeaderFeedsOptions): LeaderFeeds {
   const { clock, feedTimeoutMs, outdatedFeedMs, startGraceMs, leadershipGraceMs } = options;
-  const { maximumListAgeMs, getListAgeMs } = options;
+  const { maximumListAgeMs, getListAgeMs, getEvacuationsAgeMs = () => 0 } = options;
   const startedAtMs = clock.monotonicMs();
   const waiters = new Set<{ isFeedActive: () => boolean; resume: () => void }>();
   let isLeading = false;
@@ -81,7 +83,7 @@
 
   return {
     changes: createFeed(
-      () => isFed() || isStarting(startGraceMs),
+      () => (isFed() && getEvacuationsAgeMs() < maximumListAgeMs) || isStarting(startGraceMs),
       () => isLeading,
     ),
     servers: createFeed(
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -44,6 +44,7 @@
     clock,
     ...options.freshness,
     getListAgeMs: options.listAge.getAgeMs,
+    getEvacuationsAgeMs: options.evacuations.getAgeMs,
     startGraceMs: graces.changesMs,
     leadershipGraceMs: graces.leadershipMs,
   });
@@ -113,6 +114,12 @@
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
     );
     if (leader === undefined) {
+      const { evacuations } = view;
+      if (evacuations !== undefined)
+        options.evacuations.applySent(
+          evacuations,
+          reports.findCompleteAsOf({ ...view, serversAgeMs: evacuations.ageMs }),
+        );
       if (view.isSnapshot || view.servers.length + view.removed.length > 0)
         options.onServers({ ...view, epoch: decodeRevision(view.fence).epoch });
       const asOf = reports.findCompleteAsOf(view);
@@ -274,6 +281,9 @@
       // The other hosts go on sending requests to a server until they know that it leaves.
       if (isUrgent) runRound();
     },
+    announceEvacuations: () => {
+      if (leader !== undefined) runRound();
+    },
     recordModelUse: (server, name, change) => usage.recordUse(`${server}/${name}`, change),
     feeds,
     recordStoreResponse: watchTimes.record,
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -7,6 +7,7 @@
 import type { ServiceRetryBudget } from '../createServiceRetryBudget/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
 import type { ServerRegistry } from '../createServerRegistry/index.js';
+import type { Evacuations } from '../createEvacuations/index.js';
 import type { ListAge } from '../createListAge/index.js';
 import type { LeaderChanges } from '../watchServers/index.js';
 import type { FleetHost, Membership } from '../maintainMembership/index.js';
@@ -42,6 +43,8 @@
   setLeadership: (fence: number | undefined) => void;
   setConfiguration: (configuration: ServingConfiguration, value: Buffer) => void;
   setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
+  /** Passes a change of the evacuated data centres on, if this host leads. */
+  announceEvacuations: () => void;
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   /** What the leader passes on, so that this host need not read it from the store. */
   feeds: Pick<LeaderFeeds, 'changes' | 'servers' | 'leadership' | 'resumeWaiters'>;
@@ -68,6 +71,8 @@
   /** Whether the whole fleet starts for the first time. */
   isFirstStart: boolean;
   freshness: FreshnessLimits;
+  /** The evacuated data centres as this host knows them. */
+  evacuations: Evacuations;
   /** Age of this host's list of servers. */
   listAge: ListAge;
   membership: () => Membership;
--- a/src/serving/createServerRegistry/index.ts
+++ b/src/serving/createServerRegistry/index.ts
@@ -49,8 +49,10 @@
   dataCentre: string;
   /** Milliseconds until a server wants another request, by incarnation. */
   getWaitMs: (incarnation: string) => number;
+  /** Whether nothing may be sent to the servers of a data centre; never by default. */
+  isEvacuated?: (dataCentre: string) => boolean;
 }): ServerRegistry {
-  const { clock, log, dataCentre, getWaitMs } = options;
+  const { clock, log, dataCentre, getWaitMs, isEvacuated = () => false } = options;
   const entries = new Map<string, Entry>();
   let remoteLoads: ReadonlyMap<string, ServerLoad> = new Map();
   let hostCount = DEFAULT_HOST_COUNT;
@@ -172,6 +174,7 @@
         (entry) =>
           entry.server.service === service &&
           !entry.server.isLeaving &&
+          !isEvacuated(entry.server.dataCentre) &&
           excluded?.has(entry.server.id) !== true &&
           (model === undefined || holdsModel(entry, model, nowMs)),
       );
@@ -186,6 +189,21 @@
         toCandidate(entry, query, nowMs),
       );
     },
+    listEvacuated: ({ service, model }) => {
+      const skipped = new Set<string>();
+      for (const { server } of entries.values())
+        if (
+          server.service === service &&
+          isEvacuated(server.dataCentre) &&
+          (model === undefined || server.models.some(({ name }) => name === model))
+        )
+          skipped.add(server.dataCentre);
+      return [...skipped];
+    },
+    countRunning: (wanted) =>
+      [...entries.values()]
+        .filter(({ server }) => server.dataCentre === wanted)
+        .reduce((sum, { load }) => sum + load.active, 0),
     recordAdapterState: (id, model, adapter, isLoaded) => {
       const untilMs = clock.monotonicMs() + OVERRIDE_EXPIRY_MS;
       entries.get(id)?.overrides.set(`${model}/${adapter}`, { isLoaded, untilMs });
--- a/src/serving/createServerRegistry/types.ts
+++ b/src/serving/createServerRegistry/types.ts
@@ -49,6 +49,10 @@
   setSuspects: (servers: ReadonlySet<string>) => void;
   findServer: (id: string) => BackendServer | undefined;
   listCandidates: (options: ListCandidatesOptions) => ServerCandidate[];
+  /** Lists the evacuated data centres with servers of a service, or engines that hold the model. */
+  listEvacuated: (options: Pick<ListCandidatesOptions, 'service' | 'model'>) => string[];
+  /** Counts the requests of this host that run on the servers of a data centre. */
+  countRunning: (dataCentre: string) => number;
   /** Overrides for a short time whether an engine holds an adapter, until the leader reports it. */
   recordAdapterState: (id: string, model: string, adapter: string, isLoaded: boolean) => void;
   /** Excludes an engine for a model for a short time, after it turned out to lack the model. */
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -17,6 +17,8 @@
   countOrder: (action: string, outcome: string) => void;
   /** Sets whether this host is the leader. */
   setLeading: (isLeading: boolean) => void;
+  /** Sets the source of the evacuated data centres, each with the requests that run there. */
+  observeEvacuations: (readRunning: () => ReadonlyMap<string, number>) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
 }
@@ -48,6 +50,22 @@
     help: 'Whether this host places models',
     registers,
   });
+  const createEvacuationGauge = (
+    name: string,
+    help: string,
+    readValues: () => Iterable<[string, number]>,
+  ): Gauge =>
+    new Gauge({
+      name: `bronzelanding_${name}`,
+      help,
+      labelNames: ['data_centre'],
+      registers,
+      collect() {
+        this.reset();
+        for (const [dataCentre, value] of readValues())
+          this.set({ data_centre: dataCentre }, value);
+      },
+    });
   return {
     render: () => registry.metrics(),
     countRequest: (route, status, reason) =>
@@ -59,6 +77,16 @@
     countConnection: () => connections.inc(),
     countOrder: (action, outcome) => orders.inc({ action, outcome }),
     setLeading: (isLeading) => leading.set(isLeading ? 1 : 0),
+    observeEvacuations: (readRunning) => {
+      createEvacuationGauge('evacuated', 'Data centres that are evacuated, 1 for each', () =>
+        [...readRunning().keys()].map((dataCentre) => [dataCentre, 1]),
+      );
+      createEvacuationGauge(
+        'evacuated_requests_running',
+        'Requests of this host that still run in evacuated data centres',
+        readRunning,
+      );
+    },
     countOmittedLogLine: () => omitted.inc(),
   };
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -48,6 +48,22 @@
   ),
 });
 
+/** Evacuated data centres as of a revision of the store. */
+const evacuations = z.object({
+  revision: z.number(),
+  /** Milliseconds since the leader knew that the set was complete. */
+  ageMs: z.number().nonnegative().optional(),
+  evacuated: z.array(
+    z.object({
+      dataCentre: name,
+      /** Revision of the key. */
+      revision: z.number(),
+      /** Milliseconds for which the key may be missing after a restore; absent while it is present. */
+      awaitedMs: z.number().nonnegative().optional(),
+    }),
+  ),
+});
+
 const fleetMessageSchema = z.discriminatedUnion('type', [
   /** Announces the sender as leader; the first message that a leader sends on a connection. */
   z.object({ type: z.literal('command'), host: name, fence: z.number() }),
@@ -126,6 +142,8 @@
     quarantine: quarantine.optional(),
     /** Request limits of all servers; only when one has changed since the last view. */
     limits: z.array(requestLimit).optional(),
+    /** Absent in older versions, and without evacuations in the deployment. */
+    evacuations: evacuations.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -245,6 +245,7 @@
         needsFreshConnection:
           options.isResent || (route.retryPolicy === RetryPolicy.once && !route.isStream),
         lastEventId,
+        mayStillSend: () => !context.evacuations.isEvacuated(server.dataCentre),
       },
     );
     response.signal.addEventListener('abort', handleCallerAbort, { once: true });
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -37,6 +37,8 @@
     sharedParts,
   });
   state.serversAgeMs = context.getServersAgeMs();
+  state.evacuated = context.serverRegistry.listEvacuated({ service, model });
+  state.evacuationsAgeMs = context.evacuations.getAgeMs();
   const spread = computeChoiceSpread(context.serverRegistry.getHostCount());
   return rankAcceptableFirst(
     rankServers(candidates, routed, context.random, { spread }),
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -54,6 +54,10 @@
   lastServer?: string;
   /** Age of the list of servers at the last choice, in milliseconds. */
   serversAgeMs?: number;
+  /** Evacuated data centres whose servers the last choice skipped. */
+  evacuated?: readonly string[];
+  /** Age of the set of evacuated data centres at the last choice, in milliseconds. */
+  evacuationsAgeMs?: number;
 }
 
 /** Computes the milliseconds until the deadline of a request. */
@@ -61,6 +65,12 @@
   return request.deadlineAtMs - context.clock.monotonicMs();
 }
 
+/** Lists the evacuated data centres that the last choice skipped, for the log; nothing without any. */
+function describeEvacuated({ evacuated = [], evacuationsAgeMs = 0 }: RequestState): object {
+  if (evacuated.length === 0) return {};
+  return { evacuated: evacuated.join(), evacuationsAgeMs: Math.round(evacuationsAgeMs) };
+}
+
 /** Logs the end of a request with the values that decided it, and updates the metrics. */
 export function recordCompletion(
   state: RequestState,
@@ -90,6 +100,7 @@
       sharedParts: state.attemptsRun > 0 ? listSharedPartIds(request).join() : undefined,
       version: context.getConfigurationVersion(),
       serversAgeMs: state.serversAgeMs === undefined ? undefined : Math.round(state.serversAgeMs),
+      ...describeEvacuated(state),
       ...logFields,
     },
     reason,
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -225,6 +225,10 @@
     const admission = await admitToServer(state, selection);
     if (admission === ServerAdmission.refused) return;
     if (admission === ServerAdmission.chooseAgain || isAborted(response.signal)) continue;
+    // The data centre may have been evacuated, and this process paused, while the request waited.
+    await state.context.refreshServers(response.signal);
+    if (state.context.evacuations.isEvacuated(selection.server.dataCentre)) continue;
+    if (isAborted(response.signal)) continue;
     if (!(await runOnServer(state, selection))) return;
   }
 }
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -73,11 +73,13 @@
 
   const createController = (server: BackendServer, pool: EnginePool): EngineController => {
     const { getPauseMs } = options.serverNotices;
+    const { isEvacuated } = options.evacuations;
     return createEngineController({
       ...options,
       holder: options.host,
       isInUse,
       getPauseMs,
+      isEvacuated,
       server,
       pool,
     });
@@ -105,8 +107,12 @@
     isUnreachable: faults.isUnreachable,
     measureUtilisation,
     getRequestLimit: options.serverNotices.getRequestLimit,
+    // Replicas in an evacuated data centre serve nobody, so that their models are loaded elsewhere.
     listControllers: (service) =>
-      [...controllers].filter(([id]) => servers.get(id)?.service === service),
+      [...controllers].filter(([id]) => {
+        const server = servers.get(id);
+        return server?.service === service && !options.evacuations.isEvacuated(server.dataCentre);
+      }),
   });
 
   const runPlanningPass = async (): Promise<void> => {
@@ -187,6 +193,7 @@
         controller.listUnloadingModels().map((model) => `${id}/${model}`),
       );
       const loadingMs = replicas.computeLoadingMs();
+      const evacuations = options.evacuations.encode();
       const ageMs = options.listAge.getAgeMs();
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
@@ -212,6 +219,7 @@
           suspects,
           quarantine: quarantine.takeState(host),
           limits: limitFeed.takeLimits(host),
+          evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
           ...(state === undefined
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../../ports/log.js';
 import type { ModelOrderClient } from '../../ports/modelOrderClient.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { Evacuations } from '../createEvacuations/index.js';
 import type { ListAge } from '../createListAge/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
@@ -29,6 +30,8 @@
   /** Whether this host is known to be the leader at this moment, without asking the store. */
   isLeadershipConfirmed: () => boolean;
   serverNotices: Pick<ServerNotices, 'getPauseMs' | 'getRequestLimit' | 'getLimits'>;
+  /** The evacuated data centres as this host knows them. */
+  evacuations: Pick<Evacuations, 'isEvacuated' | 'encode'>;
   /** Age of this host's list of servers. */
   listAge: Pick<ListAge, 'getAgeMs'>;
   /** Levels of the organisations' token buckets as this host last knew them. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../ports/log.js';
 import type { BackendClient } from '../ports/serving.js';
 import type { CrashEvidence } from './createCrashEvidence/index.js';
+import type { Evacuations } from './createEvacuations/index.js';
 import type { OrganisationRateLimiter } from './createOrganisationRateLimiter/index.js';
 import type { ServiceRetryBudget } from './createServiceRetryBudget/index.js';
 import type { ServerNotices } from './createServerNotices/index.js';
@@ -88,10 +89,11 @@
   quarantine: QuarantineClient;
   requestLimiter: RequestLimiter;
   serverNotices: Pick<ServerNotices, 'getRequestLimit' | 'getPauseMs'>;
+  evacuations: Pick<Evacuations, 'isEvacuated' | 'getAgeMs'>;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
-  /** Settles when this host's list of servers may be chosen from; at once unless it is too old. */
+  /** Settles when this host's servers may be chosen from; at once unless what it knows is too old. */
   refreshServers: (signal: AbortSignal) => Promise<void>;
   /** Milliseconds since this host's list of servers is known to have been complete. */
   getServersAgeMs: () => number;
--- a/src/serving/watchPrefix/index.ts
+++ b/src/serving/watchPrefix/index.ts
@@ -44,10 +44,13 @@
   maximumBackoffMs?: number;
   /** Pause between lists and after failures; ending it makes the next call at once. */
   pause?: Pause;
-  /** Called with all items, at the start and whenever changes may have been missed. */
-  onSnapshot: (items: StoreItem[]) => void;
-  /** Called with the changes since the snapshot or the previous call. */
-  onChanges: (changes: StoreChange[]) => void;
+  /**
+   * Called with all items, at the start and whenever changes may have been missed, and the revision
+   * of the store up to which they are complete.
+   */
+  onSnapshot: (items: StoreItem[], revision: number) => void;
+  /** Called in the same way with the changes since the snapshot or the previous call. */
+  onChanges: (changes: StoreChange[], revision: number) => void;
   /** Called after each successful response of the store, before what it tells is passed on. */
   onStoreResponse?: () => void;
   /** Called with the moment up to which all changes are known, after these were passed on. */
@@ -165,7 +168,7 @@
         options.onStoreResponse?.();
         lists += 1;
         failures = 0;
-        onSnapshot(listed.items);
+        onSnapshot(listed.items, listed.revision);
         onComplete(askedAt);
       }
       if (isWatchOptional && !feed.isWatcher()) {
@@ -187,7 +190,7 @@
         revision = undefined;
         continue;
       }
-      if (watched.changes.length > 0) onChanges(watched.changes);
+      if (watched.changes.length > 0) onChanges(watched.changes, watched.revision);
       onComplete(computeCompleteAsOf(askedAt, readMoment(clock), waitMs, watched.changes.length));
       revision = watched.revision;
       if (watched.changes.length === 0) continue;
--- a/src/settings/parsers.ts
+++ b/src/settings/parsers.ts
@@ -16,6 +16,13 @@
   };
 }
 
+/** Creates a parser that takes an empty text as undefined, and any other text as `parse` does. */
+export function parseOptional<Value>(
+  parse: SettingParser<Value>,
+): SettingParser<Value | undefined> {
+  return (text) => (text === '' ? right(undefined) : parse(text));
+}
+
 /** Creates a parser of texts with a minimum length. */
 export function parseText(minimumLength = 1): SettingParser<string> {
   return (text) =>
--- a/tests/support/platformEngine.ts
+++ b/tests/support/platformEngine.ts
@@ -22,7 +22,7 @@
 /** Starts a stand-in engine on a free port. */
 export async function startPlatformEngine(options: PlatformEngineOptions): Promise<PlatformEngine> {
   const { id, service = 'llm', events: eventsPerStream = 3, eventIntervalMs = 5 } = options;
-  const { serviceTimeMs = 0 } = options;
+  const { serviceTimeMs = 0, zone = 'a' } = options;
   const models = new Map(
     Object.entries(options.models ?? {}).map(([name, adapters]) => [name, new Set(adapters)]),
   );
@@ -251,7 +251,7 @@
     buildRegistration: (change = {}) => ({
       service,
       address: `127.0.0.1:${port}`,
-      zone: 'a',
+      zone,
       version: 'v1',
       slots: 8,
       state: 'ready',
--- a/tests/support/platformEngineTypes.ts
+++ b/tests/support/platformEngineTypes.ts
@@ -79,6 +79,8 @@
 /** Options of a stand-in engine. */
 export interface PlatformEngineOptions {
   id: string;
+  /** Data centre; that of the hosts by default. */
+  zone?: string;
   service?: string;
   models?: Record<string, string[]>;
   events?: number;
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -167,6 +167,8 @@
   storeEpoch?: number;
   /** Time within which a change in the store must be in force on all hosts; 2000 by default. */
   maximumStalenessMs?: number;
+  /** Time within which an evacuation must be in force; no evacuations by default. */
+  evacuationDelayMs?: number;
 }
 
 /** Starts a host with a store; use `isHostReady` to wait until it serves requests. */
@@ -194,6 +196,7 @@
     graceSeconds: 6,
     configurationDelayMs: maximumStalenessMs,
     drainingDelayMs: maximumStalenessMs,
+    evacuationDelayMs: options.evacuationDelayMs,
     registrationIntervalMs: 500,
     firstStart: 'true',
     maximumResponseBytes: MAX_RESPONSE_BYTES,
