Test evacuations with a leader that fails and hosts that are paused

With real processes: the leader is killed in the moment in which the key is written, and each host in turn is paused while an evacuation comes into force, with requests waiting in its buffers. After evacuate_ms, or once the host runs again, the engine of the data centre receives nothing.

--- /dev/null
+++ b/tests/evacuationFaults.test.ts
@@ -0,0 +1,136 @@
+import { setTimeout as wait } from 'node:timers/promises';
+import { request as sendRequest } from 'undici';
+import t, { type Test } from 'tap';
+import { pickFreePort } from './support/pickFreePort.js';
+import { startPlatformEngine, type PlatformEngine } from './support/platformEngine.js';
+import { buildConfiguration, sendToPort } from './support/platformFleet.js';
+import { startPlatformStore, type PlatformStore } from './support/platformStore.js';
+import { startProcess, type RunningProcess } from './support/processes.js';
+import { waitUntil } from './support/waitUntil.js';
+
+const EVACUATE_MS = 5000;
+const CHANGE_DELAY_MS = 4000; // of the other changes, as in the deployment
+const KEY = 'op/evacuate/b';
+
+interface Host {
+  process: RunningProcess;
+  callerPort: number;
+}
+
+interface Fleet {
+  store: PlatformStore;
+  hosts: Map<string, Host>;
+  /** The server in data centre b. */
+  evacuated: PlatformEngine;
+}
+
+async function startHost(store: PlatformStore, name: string): Promise<Host> {
+  const [callerPort, readyPort, peerPort, metricsPort] = await Promise.all(
+    Array.from({ length: 4 }, pickFreePort),
+  );
+  const flags = {
+    host: name,
+    'data-centre': 'a',
+    callers: `127.0.0.1:${callerPort}`,
+    ready: `127.0.0.1:${readyPort}`,
+    store: `127.0.0.1:${store.endpoint.port}`,
+    'peer-port': peerPort,
+    'metrics-port': metricsPort,
+    'configuration-delay-ms': CHANGE_DELAY_MS,
+    'draining-delay-ms': CHANGE_DELAY_MS,
+    'evacuation-delay-ms': EVACUATE_MS,
+  };
+  const process = startProcess(
+    name,
+    '../dist-tools/platform/main.js',
+    Object.entries(flags).map(([flag, value]) => `--${flag}=${value}`),
+  );
+  await waitUntil(`${name} is ready`, async () => {
+    try {
+      const response = await sendRequest(`http://127.0.0.1:${readyPort}/api/ready`);
+      await response.body.dump();
+      return response.statusCode === 200;
+    } catch {
+      return false;
+    }
+  });
+  return { process, callerPort: callerPort ?? 0 };
+}
+
+async function startFleet(t: Test): Promise<Fleet> {
+  const store = await startPlatformStore();
+  store.put('op/config', buildConfiguration(1));
+  const engines = await Promise.all(
+    ['c', 'b'].map((zone) => startPlatformEngine({ id: `s-${zone}`, zone, service: 'certs' })),
+  );
+  for (const engine of engines) store.put(`servers/${engine.id}`, engine.buildRegistration());
+  const [, evacuated] = engines as [PlatformEngine, PlatformEngine];
+  const hosts = new Map<string, Host>();
+  for (const name of ['host-1', 'host-2', 'host-3']) hosts.set(name, await startHost(store, name));
+  t.teardown(async () => {
+    for (const { process } of hosts.values()) process.kill('SIGKILL');
+    await Promise.all([...hosts.values()].map(({ process }) => process.exited));
+    await Promise.all(engines.map((engine) => engine.close()));
+    await store.close();
+  });
+  await waitUntil('a host leads', () => findLeader(store) !== undefined);
+  await wait(1000); // connections to all hosts, and a first view
+  return { store, hosts, evacuated };
+}
+
+const findLeader = (store: PlatformStore): string | undefined =>
+  (store.read('bronzelanding/command') as { holder: string } | undefined)?.holder;
+
+/** Sends requests to hosts one after the other for a time; returns how many were served. */
+async function sendFor(hosts: Iterable<Host>, milliseconds: number): Promise<number> {
+  let served = 0;
+  const endsAtMs = performance.now() + milliseconds;
+  while (performance.now() < endsAtMs)
+    for (const { callerPort } of hosts) {
+      const { status } = await sendToPort(callerPort, '/lookup/1');
+      if (status === 200) served += 1;
+    }
+  return served;
+}
+
+const countSince = ({ receivedRequests }: PlatformEngine, atMs: number): number =>
+  receivedRequests.filter((request) => request.atMs > atMs).length;
+
+t.test('an evacuation is in force in time when the leader fails as it is written', async (t) => {
+  const { store, hosts, evacuated } = await startFleet(t);
+  const leader = findLeader(store) ?? '';
+  t.ok((await sendFor(hosts.values(), 500)) > 0);
+  t.ok(countSince(evacuated, -Infinity) > 0);
+  hosts.get(leader)?.process.kill('SIGKILL');
+  store.put(KEY, {});
+  const inForceAtMs = performance.now() + EVACUATE_MS;
+  const others = [...hosts].flatMap(([name, host]) => (name === leader ? [] : [host]));
+  t.ok((await sendFor(others, EVACUATE_MS + 1500)) > 0);
+  t.equal(countSince(evacuated, inForceAtMs), 0);
+});
+
+t.test('a host that was paused sends nothing to a data centre evacuated meanwhile', async (t) => {
+  const { store, hosts, evacuated } = await startFleet(t);
+  t.ok((await sendFor(hosts.values(), 500)) > 0);
+  for (const name of [...hosts.keys()].sort((one) => (one === findLeader(store) ? 1 : -1))) {
+    const host = hosts.get(name);
+    if (host === undefined) continue;
+    host.process.kill('SIGSTOP');
+    await wait(100);
+    store.put(KEY, {});
+    await wait(EVACUATE_MS);
+    const resumedAtMs = performance.now();
+    // These wait in the buffers of the paused process.
+    const waiting = Array.from({ length: 20 }, () => sendToPort(host.callerPort, '/lookup/1'));
+    await wait(100);
+    host.process.kill('SIGCONT');
+    for (const { status } of await Promise.all(waiting)) t.ok(status === 200 || status === 503);
+    t.ok((await sendFor([host], 1000)) > 0);
+    t.equal(countSince(evacuated, resumedAtMs), 0, name);
+    store.remove(KEY);
+    await waitUntil('the server is used again', async () => {
+      await sendFor(hosts.values(), 200);
+      return countSince(evacuated, resumedAtMs) > 0;
+    });
+  }
+});
