Test evacuations with requests that have a reservation

A request whose reservation at a server with a limit falls due after the evacuation is in force must not be sent.

--- a/tests/evacuation.test.ts
+++ b/tests/evacuation.test.ts
@@ -166,6 +166,29 @@
   t.equal(received, 0);
 });
 
+t.test(
+  'a request that has a reservation is not sent to a server once it is evacuated',
+  async (t) => {
+    const fleet = await startFleet(t, 1);
+    const [host] = fleet.hosts as [PlatformFleet['hosts'][number]];
+    fleet.store.remove('servers/s-c');
+    fleet.second.setExtraHeaders({ 'server-limit': '2' });
+    await wait(1500);
+    const sendAtOnceOver = async (): Promise<number> => {
+      const before = fleet.second.receivedRequests.length;
+      await sendAtOnce(host, 6);
+      return fleet.second.receivedRequests.length - before;
+    };
+    await waitUntil('the host knows the limit', async () => (await sendAtOnceOver()) < 6);
+    await wait(600);
+    const waiting = sendAtOnce(host, 6);
+    await wait(50);
+    fleet.store.put(KEY, {});
+    await wait(200);
+    t.equal(await countReceived(fleet.second, () => waiting), 0);
+  },
+);
+
 t.test('running streams end normally, and none is resumed in the data centre', async (t) => {
   const fleet = await startFleet(t, 1, 'llm');
   const running = sendEvenly(fleet, 10, '/chat/1');
--- a/tests/evacuationFaults.test.ts
+++ b/tests/evacuationFaults.test.ts
@@ -61,7 +61,9 @@
   const store = await startPlatformStore();
   store.put('op/config', buildConfiguration(1));
   const engines = await Promise.all(
-    ['c', 'b'].map((zone) => startPlatformEngine({ id: `s-${zone}`, zone, service: 'certs' })),
+    ['c', 'b'].map((zone) =>
+      startPlatformEngine({ id: `s-${zone}`, zone, service: 'certs', serviceTimeMs: 20 }),
+    ),
   );
   for (const engine of engines) store.put(`servers/${engine.id}`, engine.buildRegistration());
   const [, evacuated] = engines as [PlatformEngine, PlatformEngine];
@@ -81,14 +83,14 @@
 const findLeader = (store: PlatformStore): string | undefined =>
   (store.read('bronzelanding/command') as { holder: string } | undefined)?.holder;
 
-/** Sends requests to hosts one after the other for a time; returns how many were served. */
+/** Sends requests to hosts for a time, a few at once so that no server gets all; returns how many were served. */
 async function sendFor(hosts: Iterable<Host>, milliseconds: number): Promise<number> {
   let served = 0;
   const endsAtMs = performance.now() + milliseconds;
   while (performance.now() < endsAtMs)
     for (const { callerPort } of hosts) {
-      const { status } = await sendToPort(callerPort, '/lookup/1');
-      if (status === 200) served += 1;
+      const requests = Array.from({ length: 6 }, () => sendToPort(callerPort, '/lookup/1'));
+      served += (await Promise.all(requests)).filter(({ status }) => status === 200).length;
     }
   return served;
 }
