--- a/src/serving/createEngineController/index.ts
+++ b/src/serving/createEngineController/index.ts
@@ -27,7 +27,7 @@
 /** Creates the controller that sends load and unload orders to one engine. */
 export function createEngineController(options: EngineControllerOptions): EngineController {
   const { clock, log, orders, confirmLeadership, isInUse, getPauseMs } = options;
-  const { waitMilliseconds = wait } = options;
+  const { waitMilliseconds = wait, isEvacuated = () => false } = options;
   let { server, pool } = options;
   /** Number of orders that the engine has accepted; undefined until a report tells it. */
   let orderCount: number | undefined;
@@ -76,8 +76,9 @@
     missing.clear();
   };
 
+  const isUnusable = (): boolean => server.isLeaving || isEvacuated(server.dataCentre);
   const mayCall = (): boolean =>
-    !closing.signal.aborted && !server.isLeaving && getPauseMs(server.incarnation) === 0;
+    !closing.signal.aborted && !isUnusable() && getPauseMs(server.incarnation) === 0;
   const sender = createOrderSender({
     ...options,
     getServer: () => server,
@@ -188,7 +189,7 @@
     const startedAtMs = clock.monotonicMs();
     while (clock.monotonicMs() - startedAtMs < timeoutMs) {
       await waitMilliseconds(REPORT_POLL_INTERVAL_MS);
-      if (isAborted(closing.signal) || server.isLeaving) return false;
+      if (isAborted(closing.signal) || isUnusable()) return false;
       if (!mayCall()) continue;
       const report = await orders.readReport(server);
       if (report === undefined) continue;
@@ -252,8 +253,9 @@
     computeUsedMb: () => sizes.computeReservedMb([...models.keys()], loading),
     listDelistedMb: () => sizes.listDelistedMb([...models.keys()]),
     isFree: () =>
-      loading === undefined && unloading.size === 0 && !isStateUncertain && !server.isLeaving,
+      loading === undefined && unloading.size === 0 && !isStateUncertain && !isUnusable(),
     acquireAdapter: (model, adapter, grantWait = UNLIMITED_WAIT) => {
+      if (isEvacuated(server.dataCentre)) return Promise.resolve(undefined);
       const loaded = models.get(model);
       const isLoaded = loaded?.has(adapter) === true && !missing.has(`${model}/${adapter}`);
       if (isLoaded && !unloading.has(model)) return Promise.resolve(grant(loaded, model, adapter));
