Read cold times of engines and the figures of their services

Registrations carry cold_remaining_ms, health responses may carry Cold-Ms, and services may state cold_start_s and cold_per_s. None of them was read beyond a check that the registration has a number, and a registration with another value was rejected as a whole.

The decoders read them into fields of BackendServer, ServerNotice and ServingService. A value that is no number, negative, or above an hour counts as not cold and makes nothing invalid. Nothing uses the fields yet.

Measured: tests/decoders.test.ts passes.

--- a/src/ports/serverNotices.ts
+++ b/src/ports/serverNotices.ts
@@ -11,6 +11,8 @@
    * where the response does not tell.
    */
   requestsPerSecond?: number;
+  /** Milliseconds for which it is still cold; undefined where the response does not tell. */
+  coldMs?: number;
 }
 
 /** The request to whose response a notice belongs. */
--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -70,6 +70,10 @@
   name: string;
   /** Maximum connections that one backend server accepts in total. */
   maximumConnections: number;
+  /** How long a server is cold after its start; 0 or absent where it is not stated. */
+  coldStartMs?: number;
+  /** Requests per second that a cold server takes from all hosts; 0 or absent without a limit. */
+  coldRequestsPerSecond?: number;
   /** Properties of the engines; omitted for services without models. */
   engines?: EnginePool;
 }
@@ -127,6 +131,10 @@
   startedAtMs?: number;
   /** Renewals of its registration since then. */
   renewals?: number;
+  /** Remaining cold time when the registration was written, or when a leader passed it on. */
+  coldRemainingMs?: number;
+  /** When it is expected to be warm, in monotonic milliseconds of this host; absent while warm. */
+  warmAtMs?: number;
 }
 
 /** Part of a prompt that other requests may share. */
--- a/tests/decoders.test.ts
+++ b/tests/decoders.test.ts
@@ -3,6 +3,7 @@
 import t from 'tap';
 import { decodeConfiguration } from '../platform/decodeConfiguration.js';
 import { decodeServer } from '../platform/decodeServer.js';
+import { readServerNotice } from '../platform/readServerNotice.js';
 import { parseFleetMessage } from '#dist/serving/fleetMessages.js';
 import { buildConfiguration, sendToHost, startPlatformFleet } from './support/platformFleet.js';
 
@@ -59,6 +60,27 @@
   t.end();
 });
 
+t.test('a cold time that is odd counts as not cold and makes no registration invalid', (t) => {
+  const readRegistration = (coldMs: unknown): number | undefined =>
+    decodeServer('e1', encode({ ...REGISTRATION, cold_remaining_ms: coldMs })).coldRemainingMs;
+  const readHeader = (value: string | string[]): number | undefined =>
+    readServerNotice({ id: 'e1' }, 200, { 'instance-id': 'e1', 'cold-ms': value })?.coldMs;
+  for (const odd of [-1, 1e12, '9000', null, undefined, {}, Number.NaN])
+    t.equal(readRegistration(odd), 0, JSON.stringify(odd));
+  t.equal(readRegistration(8000.5), 8000.5);
+  for (const odd of ['-1', '1e3', '99999999999999999999', 'Infinity', '', 'soon'])
+    t.equal(readHeader(odd), 0, odd);
+  t.equal(readHeader(['0', '2500']), 2500);
+  t.equal(readServerNotice({ id: 'e1' }, 200, { 'instance-id': 'e1' })?.coldMs, undefined);
+  for (const odd of [-1, 0, 'many', undefined]) {
+    const [service] = (buildConfiguration(1) as { services: object[] }).services;
+    const services = [{ ...service, cold_start_s: odd, cold_per_s: odd }];
+    const decoded = decodeConfiguration(encode(buildConfiguration(1, { services })));
+    t.match(decoded.services.get('llm'), { coldStartMs: 0, coldRequestsPerSecond: 0 });
+  }
+  t.end();
+});
+
 t.test('bytes that are no registration, configuration or message are rejected', (t) => {
   const property = fc.property(fc.uint8Array({ maxLength: 200 }), fc.anything(), (bytes, value) => {
     const decoded = [
