Count the cold time of an engine in its estimated delay

An engine that has just turned warm is empty, so that all hosts would choose it in the same moment, and a cold one looks like the fastest.

The latency ratio of an engine is not updated by its cold responses. Without a cold time, estimates are unchanged.

--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -1,4 +1,5 @@
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
+import { computeColdDelayMs } from '../computeColdDelayMs/index.js';
 import type { RankedServer, RoutedRequest, ServerCandidate } from '../types.js';
 
 const PROMPT_TOKENS_PER_MS = 38.7; // prefill speed that the operators state for their engines
@@ -36,6 +37,7 @@
   const failureMs = FAILURE_COST_MS * failureRate ** 2;
   return (
     candidate.waitMs +
+    computeColdDelayMs(candidate.coldMs ?? 0) +
     latencyRatio * ((memoryTokens > 0 ? prefillMs : 0) + batchMs) +
     queueMs +
     memoryMs +
--- a/src/decisions/serving/types.ts
+++ b/src/decisions/serving/types.ts
@@ -27,6 +27,8 @@
   latencyRatio: number;
   /** Milliseconds until it wants another request. */
   waitMs: number;
+  /** Milliseconds until it counts as warm; absent and 0 when it is. */
+  coldMs?: number;
 }
 
 /** A part of a prompt that other requests share. */
--- a/src/serving/createServerRegistry/index.ts
+++ b/src/serving/createServerRegistry/index.ts
@@ -49,8 +49,10 @@
   dataCentre: string;
   /** Milliseconds until a server wants another request, by incarnation. */
   getWaitMs: (incarnation: string) => number;
+  /** Milliseconds until this host counts a server as warm, by incarnation; 0 by default. */
+  getColdMs?: (incarnation: string) => number;
 }): ServerRegistry {
-  const { clock, log, dataCentre, getWaitMs } = options;
+  const { clock, log, dataCentre, getWaitMs, getColdMs = () => 0 } = options;
   const entries = new Map<string, Entry>();
   let remoteLoads: ReadonlyMap<string, ServerLoad> = new Map();
   let hostCount = DEFAULT_HOST_COUNT;
@@ -111,6 +113,7 @@
       serviceTimeMs: entry.health.serviceTimeMs,
       latencyRatio: entry.health.latencyRatio,
       waitMs: getWaitMs(server.incarnation),
+      coldMs: getColdMs(server.incarnation),
     };
   };
 
@@ -203,6 +206,7 @@
           release: () => undefined,
         };
       const { load } = entry;
+      const isCold = getColdMs(entry.server.incarnation) > 0;
       if (load.active === 0) entry.health.busySinceMs = startedAtMs;
       load.active += 1;
       load.backlogTokens += backlogTokens;
@@ -222,12 +226,10 @@
         recordFirstBytes: () => {
           leaveBacklog();
           entry.prefixCache.record(sharedParts, clock.monotonicMs());
-          recordFirstByteDelay(
-            entry.health,
-            clock.monotonicMs() - startedAtMs,
-            delayMs,
-            clock.monotonicMs(),
-          );
+          const nowMs = clock.monotonicMs();
+          // What a cold server takes says nothing of its speed once it is warm.
+          if (isCold) entry.health.lastBytesAtMs = nowMs;
+          else recordFirstByteDelay(entry.health, nowMs - startedAtMs, delayMs, nowMs);
         },
         release: (outcome) => {
           const nowMs = clock.monotonicMs();
