Place models on warm engines where they can wait for one

While half of the engines are cold, the planner chose the emptiest one, often a cold one, for the only replica of a requested model, whose callers were then turned away for all the cold time.

An engine that is still cold once the model is loaded gets no replica, except of a requested model that is loaded nowhere when no warm engine has room for it, now or after its current load, and of missing models while all engines are cold. The limit of an engine that is warm again by the end of a load does not lead to replicas elsewhere. Engines without a cold time are planned as before.

Measured: the new test chooses the cold engine by the previous rule and the warm one now; the other planner tests are unchanged and pass.

--- a/src/decisions/replicas/planReplicaMove/_lib/test.ts
+++ b/src/decisions/replicas/planReplicaMove/_lib/test.ts
@@ -46,3 +46,27 @@
   t.equal(planReplicaMove(limited, models)?.load, planReplicaMove(engines, models)?.load);
   t.end();
 });
+
+t.test(
+  'half of the engines turn cold: no missing model goes to them while a warm one has room',
+  (t) => {
+    const models = [
+      { ...model('busy', 900), loadMs: 3000 },
+      { ...model('idle', 0), loadMs: 3000 },
+    ];
+    const cold = { ...buildEngine('cold', []), coldMs: 9000 };
+    const warm = buildEngine('warm', [model('other', 500)]);
+    const plan = (...engines: EngineSnapshot[]) => planReplicaMove(engines, models)?.engine;
+    t.equal(plan({ ...cold, coldMs: 0 }, warm), 'cold', 'the emptiest one by the previous rule');
+    t.equal(plan(cold, warm), 'warm');
+    t.equal(plan(cold, { ...warm, canLoad: false }), undefined, 'the load waits for the warm one');
+    t.equal(plan({ ...cold, coldMs: 2000 }, warm), 'cold', 'warm once the model is loaded');
+    t.equal(plan(cold), 'cold', 'no other engine');
+    const idle = models.slice(1);
+    t.equal(planReplicaMove([cold], idle)?.engine, 'cold', 'the whole system has just started');
+    t.equal(planReplicaMove([cold, { ...warm, canLoad: false }], idle), undefined);
+    const holder = { ...buildEngine('holder', [model('busy', 900)]), canLoad: false };
+    t.equal(plan(cold, holder), undefined, 'a further replica can wait');
+    t.end();
+  },
+);
--- a/src/decisions/replicas/planReplicaMove/index.ts
+++ b/src/decisions/replicas/planReplicaMove/index.ts
@@ -39,20 +39,46 @@
   mayUnload: boolean;
   lastReplicas: LastReplicas;
   mayUseStore: boolean;
+  /** Whether the engine may still be cold when the model is loaded. */
+  mayUseCold: boolean;
 }
 
 /** A move with the cost of the replicas that it unloads. */
 type PlannedMove = Omit<ReplicaMove, 'isRare'> & Eviction;
 
+function isWarmOnceLoaded({ coldMs = 0 }: EngineSnapshot, { loadMs = 0 }: ModelDemand): boolean {
+  return coldMs <= loadMs;
+}
+
+/** Whether a warm engine has room for a model as soon as it may load again. */
+function isWarmEngineExpected(
+  { engines }: PlanningContext,
+  model: ModelDemand,
+  findRoom: (engine: EngineSnapshot) => Eviction | undefined,
+): boolean {
+  return engines.some(
+    (engine) =>
+      !engine.canLoad && isWarmOnceLoaded(engine, model) && findRoom(engine) !== undefined,
+  );
+}
+
 /** Chooses the engine on which a further replica of a model costs the fleet least. */
 function chooseMove(
   context: PlanningContext,
   model: ModelDemand,
-  { minimumGain, minimumGainToLossRatio, mayUnload, lastReplicas, mayUseStore }: MoveLimits,
+  {
+    minimumGain,
+    minimumGainToLossRatio,
+    mayUnload,
+    lastReplicas,
+    mayUseStore,
+    mayUseCold,
+  }: MoveLimits,
 ): PlannedMove | undefined {
   let best: (PlannedMove & { cost: number }) | undefined;
   for (const engine of context.engines) {
     if (!engine.canLoad || engine.models.includes(model.name)) continue;
+    if (!mayUseCold && !isWarmOnceLoaded(engine, model)) continue;
     const gain = computeGain(context, model, engine.acceptance);
     if (gain < minimumGain) continue;
     const eviction = findEviction(context, engine, model, lastReplicas);
@@ -108,6 +134,11 @@
  * makes room for one whose engines are all busy, as most of the memory may be taken by such models. Without `mayLoadRare` the
  * free engines are left to models in demand: an engine carries out one load at a time, so that rare
  * models which are asked for at once would occupy all engines for seconds.
+ *
+ * An engine that is still cold once the model is loaded is used only for a model that is requested and
+ * loaded nowhere, and only where no warm engine has room for it: while half of the engines are cold,
+ * its callers would be turned away for all the cold time, and other loads can wait. Where all engines
+ * are cold, as after a start of the whole system, models that nobody requests yet are loaded as well.
  */
 export function planReplicaMove(
   engines: readonly EngineSnapshot[],
@@ -132,13 +163,24 @@
     const isRare = model.demand < RARE_MODEL_DEMAND * context.meanLoad;
     if (isRare && !mayLoadRare) continue;
     const isRequested = model.demand > 0;
-    const move = chooseMove(context, model, {
+    const lastReplicas = isDemandSettled ? chooseLastReplicas(context, model) : LastReplicas.keep;
+    const limits = {
       minimumGain: leastGain,
       minimumGainToLossRatio,
       mayUnload: isRequested,
-      lastReplicas: isDemandSettled ? chooseLastReplicas(context, model) : LastReplicas.keep,
+      lastReplicas,
       mayUseStore,
-    });
+    };
+    const mayUseCold =
+      isMissing &&
+      (isRequested
+        ? !isWarmEngineExpected(context, model, (engine) =>
+            findEviction(context, engine, model, lastReplicas),
+          )
+        : !engines.some((engine) => isWarmOnceLoaded(engine, model)));
+    const move =
+      chooseMove(context, model, { ...limits, mayUseCold: false }) ??
+      (mayUseCold ? chooseMove(context, model, { ...limits, mayUseCold }) : undefined);
     if (move !== undefined)
       return { engine: move.engine, load: move.load, unload: move.unload, isRare };
   }
--- a/src/decisions/replicas/types.ts
+++ b/src/decisions/replicas/types.ts
@@ -14,6 +14,8 @@
   utilisation: number;
   /** Part of the requests for its models that it takes, from 0 to 1: less than 1 with a request limit. */
   acceptance: number;
+  /** Milliseconds until it is warm; absent and 0 when it is. */
+  coldMs?: number;
   /** Whether it can accept an order to load a model now. */
   canLoad: boolean;
 }
@@ -24,6 +26,8 @@
   weightsMb: number;
   /** Requested work per second, in tokens for example. */
   demand: number;
+  /** Time that a load takes; 0 by default. */
+  loadMs?: number;
 }
 
 /** A replica to load on an engine, and the replicas to unload first to make room for it. */
--- a/src/serving/startFleetLeader/_lib/createModelDemandMeter.ts
+++ b/src/serving/startFleetLeader/_lib/createModelDemandMeter.ts
@@ -59,12 +59,13 @@
       decayedAtMs = atMs;
     },
     listModels: (service, pool) =>
-      pool.models.map(({ name, weightsMb }) => {
+      pool.models.map(({ name, weightsMb, loadMs }) => {
         const key = `${service}/${name}`;
         const isPresent = readRate(presence, key) >= MIN_DEMAND;
         return {
           name,
           weightsMb,
+          loadMs,
           demand: isPresent ? Math.max(MIN_DEMAND, readRate(recent, key)) : 0,
         };
       }),
--- a/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
+++ b/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
@@ -59,8 +59,10 @@
   isUnreachable: (server: string) => boolean;
   /** Measures how much of an engine's slots and memory the requests in flight take. */
   measureUtilisation: (server: BackendServer, pool: EnginePool) => number;
-  /** Requests per second that an engine takes, by incarnation; Infinity without a limit. */
-  getRequestLimit: (incarnation: string) => number;
+  /** Requests per second that an engine takes in some time, by incarnation; Infinity without a limit. */
+  getRequestLimit: (incarnation: string, inMs: number) => number;
+  /** Milliseconds until an engine is warm, by incarnation; 0 by default. */
+  getColdMs?: (incarnation: string) => number;
   /** Lists the engines of a service, each id with its controller. */
   listControllers: (service: string) => [string, EngineController][];
 }
@@ -68,7 +70,7 @@
 /** Creates the scheduler of replica moves. */
 export function createReplicaScheduler(options: ReplicaSchedulerOptions): ReplicaScheduler {
   const { clock, log, fence, demand, isInUse, measureUtilisation, listControllers } = options;
-  const { isUnreachable, getRequestLimit } = options;
+  const { isUnreachable, getRequestLimit, getColdMs = () => 0 } = options;
   let loadStartsAtMs: number[] = [];
   const readyAtMs = new Map<string, number>();
   let firstDemandAtMs = Infinity;
@@ -80,9 +82,17 @@
   /** Moving averages over a few passes, by engine. */
   const utilisations = new Map<string, number>();
 
-  const measureAcceptance = (service: string, controller: EngineController): number =>
+  const measureAcceptance = (
+    service: string,
+    { models }: EnginePool,
+    controller: EngineController,
+  ): number =>
     computeAcceptance({
-      limit: getRequestLimit(controller.getServer().incarnation),
+      // An engine that is warm again by the end of a load needs no replica elsewhere.
+      limit: getRequestLimit(
+        controller.getServer().incarnation,
+        Math.max(0, ...models.map(({ loadMs }) => loadMs)),
+      ),
       requestRate: demand.measureRequestRate(service),
       engineCount: listControllers(service).length,
     });
@@ -120,7 +130,7 @@
     const engines = controllers
       .filter(([id, controller]) => !controller.getServer().isLeaving && !isUnreachable(id))
       .map(([id, controller]) => {
-        const acceptance = measureAcceptance(service, controller);
+        const acceptance = measureAcceptance(service, pool, controller);
         const loadingModel = controller.getLoadingModel();
         return {
           id,
@@ -135,6 +145,7 @@
           // An engine that turns requests away is full, however few it has in flight.
           utilisation: Math.max(utilisations.get(id) ?? 0, 1 - acceptance),
           acceptance,
+          coldMs: getColdMs(controller.getServer().incarnation),
           canLoad: controller.isFree() && nowMs >= (failedMoves.get(id)?.untilMs ?? -Infinity),
         };
       });
