Keep the request rate that a cold engine tolerates, over all hosts

What operators would see: an engine that starts, or turns cold, gets its full share of the load at once and crashes.

Change: createServerNotices keeps cold times by incarnation, from registrations (older ones change nothing) and from responses, which hosts report to the leader. The leader passes the remaining time on with its servers, not with each renewal. getRequestLimit is the lower of the server's own limit and 0.8 of cold_per_s until the server is warm, so that reservations and local shares hold for cold engines as well, with shorter bursts and a pause of a new leader. A host without a leader whose list is older than 3 s, and one whose connection to the engine broke, keep to the limit as they cannot tell. A reservation lapses 0.5 s after its time, so that a host that was paused does not send all of them at once; this holds for all servers with limits. The log says when a server is cold, and bronzelanding_cold_servers counts them. Services without cold_start_s and cold_per_s behave as before.

--- a/src/decisions/limits/reserveLocalRequest/index.ts
+++ b/src/decisions/limits/reserveLocalRequest/index.ts
@@ -32,10 +32,10 @@
  */
 export function reserveLocalRequest(
   { nextAtMs }: RequestSchedule,
-  { nowMs, perSecond, hostCount, maximumWaitMs }: LocalReservationOptions,
+  { nowMs, perSecond, hostCount, maximumWaitMs, burstMs = VALIDITY_MS }: LocalReservationOptions,
 ): Reservation {
   const intervalMs = computeIntervalMs(perSecond, hostCount);
-  const lapsed = Math.max(0, Math.ceil((nowMs - VALIDITY_MS - nextAtMs) / intervalMs));
+  const lapsed = Math.max(0, Math.ceil((nowMs - burstMs - nextAtMs) / intervalMs));
   const dueAtMs = nextAtMs + lapsed * intervalMs;
   const waitMs = Math.max(0, dueAtMs - nowMs);
   if (waitMs > maximumWaitMs) return { schedule: { nextAtMs: dueAtMs }, isGranted: false, waitMs };
--- a/src/decisions/limits/reserveRequest/index.ts
+++ b/src/decisions/limits/reserveRequest/index.ts
@@ -1,6 +1,6 @@
 import type { RequestSchedule, Reservation, ReservationOptions } from '../types.js';
 
-const BURST_SECONDS = 1; // requests of which nobody made use may come later, up to those of one second
+const BURST_MS = 1000; // requests of which nobody made use may come later, up to those of one second
 
 /**
  * Reserves the next free time of a server with a request limit, for one of all hosts. Answers the
@@ -9,10 +9,10 @@
  */
 export function reserveRequest(
   { nextAtMs }: RequestSchedule,
-  { nowMs, perSecond, maximumWaitMs }: ReservationOptions,
+  { nowMs, perSecond, maximumWaitMs, burstMs = BURST_MS }: ReservationOptions,
 ): Reservation {
   const intervalMs = 1000 / perSecond;
-  const toleranceMs = Math.max(0, 1000 * BURST_SECONDS - intervalMs);
+  const toleranceMs = Math.max(0, burstMs - intervalMs);
   const atMs = Math.max(nextAtMs, nowMs - toleranceMs);
   const waitMs = Math.max(0, atMs - nowMs);
   if (waitMs > maximumWaitMs) return { schedule: { nextAtMs }, isGranted: false, waitMs };
--- a/src/decisions/limits/types.ts
+++ b/src/decisions/limits/types.ts
@@ -27,4 +27,27 @@
   perSecond: number;
   /** Longest wait that is worth a reservation. */
   maximumWaitMs: number;
+  /** Time whose unused requests may still be made up for; 1000 by default. */
+  burstMs?: number;
 }
+
+/** Until when a server is cold, as one registration told; times in monotonic milliseconds. */
+export interface RegisteredColdTime {
+  warmAtMs: number;
+  /** Remaining cold time as the registration states it. */
+  statedMs: number;
+  /** Renewals of the registration since the start of the server. */
+  renewals: number;
+  receivedAtMs: number;
+}
+
+/** Until when a server is cold, as one response told; times in monotonic milliseconds. */
+export interface ToldColdTime {
+  warmAtMs: number;
+  /** When the request was sent to whose response the time belongs. */
+  sentAtMs: number;
+  receivedAtMs: number;
+}
+
+/** `burstMs` for a cold server, which crashes on what others take as a burst. */
+export const COLD_BURST_MS = 250;
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -45,6 +45,7 @@
     dataCentre: options.dataCentre,
     getWaitMs: (id) =>
       Math.max(serverNotices.getPauseMs(id), fleetMember.requestLimiter.getWaitMs(id)),
+    getColdMs: serverNotices.getShiftedColdMs,
   });
   const freshness = computeFreshnessLimits(settings.maximumStalenessMs);
   const listAge = createListAge(clock, { onComplete: () => listRefresh.recordRead() });
@@ -70,6 +71,7 @@
         'configuration in force',
       );
       configuration = decoded;
+      serverNotices.setConfiguration(decoded);
       serverRegistry.setConfiguration(decoded);
       fleetMember.setConfiguration(decoded, value);
       callerListener.setConfiguration(decoded);
@@ -101,6 +103,7 @@
     onConfiguration: (value) => applyConfiguration(Buffer.from(value), 'peer'),
     onServers: (changes) => serverWatch.applyLeaderChanges(changes),
   });
+  serverNotices.setContact({ getListAgeMs: listAge.getAgeMs, isLed: fleetMember.isLed });
   const serversPause = createPause();
   const listRefresh = createListRefresh({
     listAge,
@@ -190,7 +193,8 @@
     serverRegistry.setServers(servers);
     fleetMember.setServers(servers);
   };
-  serverNotices.onLeave(applyServers);
+  serverNotices.onChange(applyServers);
+  metrics.setColdServerCounter(serverNotices.countCold);
   const serverWatch = watchServers({
     store,
     prefix: options.servers.prefix,
--- a/src/serving/createFleetMember/_lib/createRequestLimiter.ts
+++ b/src/serving/createFleetMember/_lib/createRequestLimiter.ts
@@ -3,7 +3,11 @@
   createLocalSchedule,
   reserveLocalRequest,
 } from '../../../decisions/limits/reserveLocalRequest/index.js';
-import type { RequestSchedule, Reservation } from '../../../decisions/limits/types.js';
+import {
+  COLD_BURST_MS,
+  type RequestSchedule,
+  type Reservation,
+} from '../../../decisions/limits/types.js';
 import type { Clock } from '../../../ports/clock.js';
 import type { FleetMessage } from '../../fleetMessages.js';
 import type { FleetLeader } from '../../startFleetLeader/index.js';
@@ -23,6 +27,8 @@
   random: () => number;
   /** Requests per second that a server takes from all hosts; Infinity without a limit. */
   getRequestLimit: (incarnation: string) => number;
+  /** Whether the limit is that of a cold server; false by default. */
+  isCold?: (incarnation: string) => boolean;
   getHostCount: () => number;
   /** Whether a leader sends views to this host. */
   isLed: () => boolean;
@@ -40,6 +46,7 @@
  */
 export function createRequestLimiter(options: RequestLimiterOptions): MemberRequestLimiter {
   const { clock, random, getRequestLimit, getHostCount, getLeader, sendToLeader } = options;
+  const { isCold = () => false } = options;
   const replies = createPendingReplies<ReservationReply>(REPLY_TIMEOUT_MS);
   /** When a server is expected to take a further request, as of the last reservation. */
   const nextAtMs = new Map<string, number>();
@@ -51,7 +58,11 @@
     const perSecond = computeUsableRate(getRequestLimit(server));
     const limits = { nowMs: clock.monotonicMs(), perSecond, hostCount };
     const schedule = localSchedules.get(server) ?? createLocalSchedule(limits, random());
-    const reservation = reserveLocalRequest(schedule, { ...limits, maximumWaitMs });
+    const reservation = reserveLocalRequest(schedule, {
+      ...limits,
+      maximumWaitMs,
+      burstMs: isCold(server) ? COLD_BURST_MS : undefined,
+    });
     localSchedules.set(server, reservation.schedule);
     return reservation;
   };
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -13,6 +13,7 @@
   type FleetView,
   type SentRequestLimit,
 } from '../fleetMessages.js';
+import { decodeColdTimes, encodeColdTimes } from '../coldTimeMessages.js';
 import { decodeRequestLimits, encodeRequestLimits } from '../requestLimitMessages.js';
 import { startFleetLeader, type FleetLeader } from '../startFleetLeader/index.js';
 import type { FleetMember, FleetMemberOptions } from './types.js';
@@ -70,6 +71,7 @@
     clock,
     random: options.random,
     getRequestLimit: serverNotices.getRequestLimit,
+    isCold: serverNotices.isCold,
     getHostCount: serverRegistry.getHostCount,
     isLed: () => isPlacementAvailable(),
     getLeader: () => leader,
@@ -92,6 +94,7 @@
     unreachable: serverRegistry.listUnreachable(),
     leaving: serverNotices.listUnregistered().slice(0, MAX_REPORTED_LEAVES),
     limits: encodeRequestLimits(serverNotices.takeChangedLimits(), clock.monotonicMs()),
+    cold: encodeColdTimes(serverNotices.takeChangedColdTimes(), clock.monotonicMs()),
     ...quarantine.evidence.takeReport(),
   });
 
@@ -150,9 +153,10 @@
         leader,
         admissionUpdates,
         configurations,
-        recordNotices: ({ leaving, limits }) => {
+        recordNotices: ({ leaving, limits, cold }) => {
           serverNotices.recordLeaving(leaving);
           recordLimits(limits);
+          serverNotices.recordColdTimes(decodeColdTimes(cold, clock.monotonicMs()));
         },
         handleConfiguration,
       }),
@@ -228,6 +232,7 @@
     placement,
     quarantine: quarantine.client,
     requestLimiter,
+    isLed: isPlacementAvailable,
     setSavedPartGroups: quarantine.setSavedPartGroups,
     listen: transport.listen,
     setHosts: (hosts) => {
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -32,6 +32,8 @@
   placement: PlacementClient;
   quarantine: QuarantineClient;
   requestLimiter: RequestLimiter;
+  /** Whether a leader sends views to this host, or it is the leader. */
+  isLed: () => boolean;
   /** Sets the prompt parts in quarantine as they are stored. */
   setSavedPartGroups: (groups: readonly SavedPartGroup[]) => void;
   /** Starts to accept connections of leaders; resolves to the port. */
--- a/src/serving/createOrganisationRateLimiter/test.ts
+++ b/src/serving/createOrganisationRateLimiter/test.ts
@@ -22,6 +22,7 @@
     unreachable: [],
     leaving: [],
     limits: [],
+    cold: [],
     requests: {},
     crashes: [],
     servedParts: [],
--- a/src/serving/createServerNotices/index.ts
+++ b/src/serving/createServerNotices/index.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
 import type { BackendServer } from '../../ports/serving.js';
+import { createColdStates } from './_lib/createColdStates.js';
 import { createRequestLimits } from './_lib/createRequestLimits.js';
 import type { ServerNotices } from './types.js';
 
@@ -10,14 +11,19 @@
 const MAX_LEAVING_SERVERS = 10_000;
 
 /** Creates the collection of what servers say of themselves, without any notice yet. */
-export function createServerNotices(options: { clock: Clock; log: Log }): ServerNotices {
-  const { clock, log } = options;
+export function createServerNotices(options: {
+  clock: Clock;
+  log: Log;
+  random?: () => number;
+}): ServerNotices {
+  const { clock, log, random = Math.random } = options;
   const leaving = new Set<string>();
   /** Until when servers want no requests of this host. */
   const pausedUntilMs = new Map<string, number>();
   const limits = createRequestLimits(clock);
+  const cold = createColdStates({ clock, log, random });
   let unregistered: string[] = [];
-  let handleLeave = (): void => undefined;
+  let handleChange = (): void => undefined;
 
   const addLeaving = (incarnation: string): boolean => {
     if (leaving.has(incarnation)) return false;
@@ -42,6 +48,12 @@
       if (computePauseMs(incarnation) === 0) pausedUntilMs.delete(incarnation);
   };
 
+  const applyColdTime = (server: BackendServer): BackendServer => {
+    cold.recordRegistration(server);
+    const warmAtMs = cold.getWarmAtMs(server.incarnation);
+    return warmAtMs > clock.monotonicMs() ? { ...server, warmAtMs } : server;
+  };
+
   const applyToServer = (server: BackendServer): BackendServer => {
     if (server.isLeaving) addLeaving(server.incarnation);
     else if (leaving.has(server.incarnation)) {
@@ -53,7 +65,12 @@
 
   return {
     record: ({ id, incarnation }, notice, { requestId, sentAtMs }) => {
-      const { isLeaving, pauseMs, requestsPerSecond } = notice;
+      const { isLeaving, pauseMs, requestsPerSecond, coldMs } = notice;
+      if (coldMs !== undefined) {
+        const receivedAtMs = clock.monotonicMs();
+        const told = { warmAtMs: receivedAtMs + coldMs, sentAtMs, receivedAtMs };
+        if (cold.recordTold(incarnation, told)) handleChange();
+      }
       if (requestsPerSecond !== undefined) {
         const before = limits.get(incarnation);
         const receivedAtMs = clock.monotonicMs();
@@ -71,29 +88,50 @@
         );
       if (!isLeaving || !addLeaving(incarnation)) return;
       log.info({ server: id, incarnation, requestId }, 'server says that it is leaving');
-      handleLeave();
+      handleChange();
     },
     getPauseMs: computePauseMs,
-    getRequestLimit: limits.get,
+    setConfiguration: cold.setConfiguration,
+    setContact: cold.setContact,
+    recordDisconnection: cold.recordDisconnection,
+    getRequestLimit: (incarnation, inMs) =>
+      Math.min(limits.get(incarnation), cold.getLimit(incarnation, inMs)),
     recordLimits: limits.merge,
     getLimits: limits.getAll,
     takeChangedLimits: limits.takeChanged,
-    resetTaken: limits.resetTaken,
+    resetTaken: () => {
+      limits.resetTaken();
+      cold.resetTaken();
+    },
+    isCold: (incarnation) => cold.getLimit(incarnation) < Infinity,
+    getColdMs: cold.getColdMs,
+    getShiftedColdMs: cold.getShiftedColdMs,
+    getColdAgeMs: cold.getAgeMs,
+    countCold: cold.countCold,
+    recordColdTimes: (times) => {
+      const changes = [...times].map(([incarnation, told]) => cold.recordTold(incarnation, told));
+      if (changes.includes(true)) handleChange();
+    },
+    takeChangedColdTimes: cold.takeChanged,
     recordLeaving: (incarnations) => {
       const added = incarnations.filter(addLeaving);
       if (added.length === 0) return;
       log.info({ incarnations: added }, 'servers say to another host that they are leaving');
-      handleLeave();
+      handleChange();
     },
     applyTo: (servers) => {
       unregistered = [];
       dropEndedPauses();
-      limits.dropObsolete(new Set([...servers.values()].map(({ incarnation }) => incarnation)));
-      return new Map([...servers].map(([id, server]) => [id, applyToServer(server)]));
+      const registered = new Set([...servers.values()].map(({ incarnation }) => incarnation));
+      limits.dropObsolete(registered);
+      cold.dropObsolete(registered);
+      return new Map(
+        [...servers].map(([id, server]) => [id, applyToServer(applyColdTime(server))]),
+      );
     },
     listUnregistered: () => unregistered,
-    onLeave: (listener) => {
-      handleLeave = listener;
+    onChange: (listener) => {
+      handleChange = listener;
     },
   };
 }
--- a/src/serving/createServerNotices/test.ts
+++ b/src/serving/createServerNotices/test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import type { BackendServer } from '../../ports/serving.js';
 import { createServerNotices } from './index.js';
+import type { ServerNotices } from './types.js';
 
 const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
 const SOURCE = { requestId: 'r1', sentAtMs: 0 };
@@ -47,7 +48,7 @@
 t.test('lists what the registrations do not say yet', (t) => {
   const notices = createServerNotices({ clock, log });
   let calls = 0;
-  notices.onLeave(() => {
+  notices.onChange(() => {
     calls += 1;
   });
   notices.recordLeaving(['s1/1', 's3/1']);
@@ -134,3 +135,89 @@
   t.equal(notices.getLimits().size, 0);
   t.end();
 });
+
+function createColdNotices(coldRequestsPerSecond = 10): ServerNotices {
+  const notices = createServerNotices({ clock, log, random: () => 0.5 });
+  const service = { name: 'llm', maximumConnections: 9, coldStartMs: 8000, coldRequestsPerSecond };
+  const limits = { headerTimeoutMs: 1, idleTimeoutMs: 1, maximumHeaderBytes: 1 };
+  notices.setConfiguration({
+    version: 1,
+    routes: [],
+    services: new Map([['llm', service]]),
+    limits: { ...limits, maximumBodyBytes: 1 },
+  });
+  return notices;
+}
+const register = (notices: ServerNotices, renewals: number, coldRemainingMs: number, born = 1) =>
+  notices.applyTo(buildServers({ ...buildServer('s1', born), renewals, coldRemainingMs }));
+
+t.test('a cold server has the lower limit until it is warm, by incarnation', (t) => {
+  const notices = createColdNotices();
+  nowMs = 0;
+  t.equal(register(notices, 1, 5000).get('s1')?.warmAtMs, 5000);
+  t.equal(notices.getRequestLimit('s1/1'), 8);
+  t.equal(notices.getRequestLimit('s1/1', 5000), Infinity, 'in 5 s');
+  t.equal(notices.getRequestLimit('s1/2'), Infinity, 'another incarnation');
+  const ownLimit = { isLeaving: false, pauseMs: 0, requestsPerSecond: 3 };
+  notices.record(buildServer('s1'), ownLimit, SOURCE);
+  t.equal(notices.getRequestLimit('s1/1'), 3);
+  nowMs = 1200;
+  register(notices, 2, 3800);
+  register(notices, 1, 0);
+  t.equal(notices.getColdMs('s1/1'), 3800, 'an older registration ends nothing');
+  nowMs = 5000;
+  t.equal(notices.countCold(), 0);
+  t.equal(notices.getRequestLimit('s1/1'), 3);
+  t.equal(notices.getShiftedColdMs('s1/1'), 750, 'this host returns to it later than others');
+  t.end();
+});
+
+t.test('a service without cold requests per second has no limit for cold servers', (t) => {
+  nowMs = 0;
+  const notices = createColdNotices(0);
+  register(notices, 1, 5000);
+  t.equal(notices.getRequestLimit('s1/1'), Infinity);
+  t.equal(notices.countCold(), 1);
+  const off = createServerNotices({ clock, log });
+  t.equal(register(off, 1, 5000).get('s1')?.warmAtMs, 5000, 'passed on to other hosts');
+  t.equal(off.getColdMs('s1/1'), 0, 'its service has no cold starts');
+  t.end();
+});
+
+t.test('a server that turns cold says so in a response, and other hosts are told', (t) => {
+  const [host, leader] = [createColdNotices(), createColdNotices()];
+  let changes = 0;
+  leader.onChange(() => {
+    changes += 1;
+  });
+  nowMs = 1000;
+  for (const notices of [host, leader]) register(notices, 1, 0);
+  const cold = { isLeaving: false, pauseMs: 0, coldMs: 6000 };
+  host.record(buildServer('s1'), cold, { requestId: 'r1', sentAtMs: 900 });
+  leader.recordColdTimes(host.takeChangedColdTimes());
+  t.equal(changes, 1);
+  nowMs = 1100;
+  t.equal(register(leader, 2, 0).get('s1')?.warmAtMs, 7000, 'the registration was written before');
+  t.equal(leader.getRequestLimit('s1/1'), 8);
+  t.equal(leader.getColdAgeMs('s1/1'), 100);
+  t.end();
+});
+
+t.test('a host that cannot tell what has turned cold keeps to the limit of cold servers', (t) => {
+  const notices = createColdNotices();
+  nowMs = 10_000;
+  register(notices, 1, 0);
+  let [listAgeMs, isLed] = [500, true];
+  notices.setContact({ getListAgeMs: () => listAgeMs, isLed: () => isLed });
+  t.notOk(notices.isCold('s1/1'));
+  notices.recordDisconnection('s1/1');
+  t.ok(notices.isCold('s1/1'), 'a new process may have taken its place');
+  nowMs = 11_500;
+  t.notOk(notices.isCold('s1/1'), 'the list is from after its registration');
+  nowMs = 20_000;
+  [listAgeMs, isLed] = [4000, false];
+  t.ok(notices.isCold('s1/1'), 'no leader, and a list of before');
+  isLed = true;
+  t.notOk(notices.isCold('s1/1'));
+  t.end();
+});
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -17,6 +17,8 @@
   countOrder: (action: string, outcome: string) => void;
   /** Sets whether this host is the leader. */
   setLeading: (isLeading: boolean) => void;
+  /** Sets the function that counts the cold servers, called with each rendering. */
+  setColdServerCounter: (count: () => number) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
 }
@@ -48,6 +50,15 @@
     help: 'Whether this host places models',
     registers,
   });
+  let countCold = (): number => 0;
+  new Gauge({
+    name: 'bronzelanding_cold_servers',
+    help: 'Servers that are cold, as this host knows',
+    registers,
+    collect() {
+      this.set(countCold());
+    },
+  });
   return {
     render: () => registry.metrics(),
     countRequest: (route, status, reason) =>
@@ -59,6 +70,9 @@
     countConnection: () => connections.inc(),
     countOrder: (action, outcome) => orders.inc({ action, outcome }),
     setLeading: (isLeading) => leading.set(isLeading ? 1 : 0),
+    setColdServerCounter: (count) => {
+      countCold = count;
+    },
     countOmittedLogLine: () => omitted.inc(),
   };
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -16,6 +16,8 @@
   incarnation: name,
   startedAtMs: z.number().optional(),
   renewals: z.number().optional(),
+  /** Remaining cold time in milliseconds; absent in older versions. */
+  coldRemainingMs: z.number().optional(),
 });
 const numbersByName = z.record(z.string(), z.number());
 
@@ -40,6 +42,13 @@
   sentAgeMs: z.number(),
   receivedAgeMs: z.number(),
 });
+/** Remaining cold time of a server, as an incarnation of it named it in a response. */
+const coldTime = z.object({
+  server: name,
+  remainingMs: z.number().nonnegative(),
+  sentAgeMs: z.number(),
+  receivedAgeMs: z.number(),
+});
 const quarantine = z.object({
   /** Parts of crashes for which hosts report whether they have served them. */
   watched: z.array(name),
@@ -80,6 +89,8 @@
     leaving: z.array(name).max(MAX_REPORTED_LEAVES).default([]),
     /** Request limits of servers that have changed since the last report to this leader. */
     limits: z.array(requestLimit).default([]),
+    /** Cold times that responses to this host have changed; absent in older versions. */
+    cold: z.array(coldTime).default([]),
     /** Servers that broke their connections to this host, since the last report to this leader. */
     crashes: z.array(crash).max(MAX_REPORTED_CRASHES).default([]),
     /** Milliseconds since this host last served requests with watched prompt parts, by part. */
@@ -200,6 +211,9 @@
 /** A request limit as hosts tell it to each other. */
 export type SentRequestLimit = z.infer<typeof requestLimit>;
 
+/** A cold time as hosts tell it to each other. */
+export type SentColdTime = z.infer<typeof coldTime>;
+
 /** Validates a decoded frame as a fleet message; throws when it is not one. */
 export function parseFleetMessage(value: unknown): FleetMessage {
   return fleetMessageSchema.parse(value);
--- a/src/serving/serveRequest/_lib/admitToServer.ts
+++ b/src/serving/serveRequest/_lib/admitToServer.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { isReservationLapsed } from '../../../decisions/limits/isReservationLapsed/index.js';
 import { computeMaximumDelayMs } from '../../../decisions/serving/computeMaximumDelayMs/index.js';
 import { computeMaximumWaitMs } from '../../../decisions/serving/computeMaximumWaitMs/index.js';
 import type { ServerSelection } from './chooseServer.js';
@@ -33,7 +34,8 @@
   { server: { id, incarnation }, usefulWaitMs }: ServerSelection,
   patienceMs: number,
 ): Promise<ServerAdmission> {
-  const { requestLimiter, serverNotices, serverRegistry } = state.context;
+  const { clock, requestLimiter, serverNotices, serverRegistry } = state.context;
+  const askedAtMs = clock.monotonicMs();
   const limit = serverNotices.getRequestLimit(incarnation);
   state.reservations += 1;
   const grantedMs = await requestLimiter.reserve(incarnation, Math.min(patienceMs, usefulWaitMs));
@@ -44,6 +46,7 @@
   await waitForCaller(state, grantedMs);
   const server = serverRegistry.findServer(id);
   const isStillValid =
+    !isReservationLapsed(grantedMs, clock.monotonicMs() - askedAtMs) &&
     server?.incarnation === incarnation &&
     !server.isLeaving &&
     serverNotices.getPauseMs(incarnation) === 0 &&
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -117,6 +117,8 @@
   });
   trackedRequest.release(toServerOutcome(result));
   if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
+  if (result.isCrashSuspected || result.failure === AttemptFailure.unreachable)
+    context.serverNotices.recordDisconnection(server.incarnation);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
   for (const name of usedNames) context.recordModelUse(server.id, name, -1);
--- a/src/serving/startFleetLeader/_lib/collectServerChanges.ts
+++ b/src/serving/startFleetLeader/_lib/collectServerChanges.ts
@@ -1,11 +1,25 @@
 import type { BackendServer } from '../../../ports/serving.js';
 import type { FleetView } from '../../fleetMessages.js';
 
+/** Keeps the renewals of a cold server, whose ends differ by their way, from being sent on. */
+const COLD_TOLERANCE_MS = 200;
+const NOT_COMPARED = {
+  copies: undefined,
+  renewals: undefined,
+  coldRemainingMs: undefined,
+  warmAtMs: undefined,
+};
+
 /** Compares what hosts act on; copies of weights matter to the leader only, and renewals to no choice. */
-function isSameServer(sent: BackendServer | undefined, server: BackendServer): boolean {
-  const encode = (item: BackendServer): string =>
-    JSON.stringify({ ...item, copies: undefined, renewals: undefined });
-  return sent === server || (sent !== undefined && encode(sent) === encode(server));
+function isSameServer(sent: BackendServer, server: BackendServer, nowMs: number): boolean {
+  const encode = (item: BackendServer): string => JSON.stringify({ ...item, ...NOT_COMPARED });
+  const differenceMs = computeColdMs(server, nowMs) - computeColdMs(sent, nowMs);
+  if (Math.abs(differenceMs) > COLD_TOLERANCE_MS) return false;
+  return sent === server || encode(sent) === encode(server);
+}
+
+function computeColdMs({ warmAtMs = -Infinity }: BackendServer, nowMs: number): number {
+  return Math.max(0, warmAtMs - nowMs);
 }
 
 /** Servers as they were last sent to a host. */
@@ -29,6 +43,7 @@
   sentServers: SentServers,
   servers: ReadonlyMap<string, BackendServer>,
   isCurrent: boolean,
+  nowMs: number,
 ): Pick<FleetView, 'servers' | 'removed' | 'isSnapshot'> {
   const { servers: sent } = sentServers;
   const isSnapshot = isCurrent && !sentServers.hasSnapshot;
@@ -38,13 +53,18 @@
   for (const id of removed) sent.delete(id);
   const changed: FleetView['servers'] = [];
   for (const [id, server] of servers) {
-    if (isSameServer(sent.get(id), server)) continue;
+    const known = sent.get(id);
+    if (known !== undefined && isSameServer(known, server, nowMs)) continue;
     sent.set(id, server);
-    const sentServer: FleetView['servers'][number] & Pick<BackendServer, 'copies'> = {
+    const coldMs = computeColdMs(server, nowMs);
+    const sentServer: FleetView['servers'][number] & Pick<BackendServer, 'copies' | 'warmAtMs'> = {
       ...server,
+      // Ends that are later by no more than the tolerance are not sent.
+      coldRemainingMs: coldMs > 0 ? Math.round(coldMs + COLD_TOLERANCE_MS) : 0,
       models: server.models.map(({ name, adapters }) => ({ name, adapters: [...adapters] })),
     };
     delete sentServer.copies;
+    delete sentServer.warmAtMs;
     changed.push(sentServer);
   }
   return { servers: changed, removed, isSnapshot };
--- a/src/serving/startFleetLeader/_lib/test.ts
+++ b/src/serving/startFleetLeader/_lib/test.ts
@@ -196,17 +196,33 @@
   const list = (...ids: string[]) =>
     new Map(ids.map((id) => [id, createController(id, []).getServer()]));
   const sent = createSentServers();
-  const outdated = collectServerChanges(sent, list('e1', 'e2'), false);
+  const outdated = collectServerChanges(sent, list('e1', 'e2'), false, 0);
   t.notOk(outdated.isSnapshot, 'a leader that has not read the list knows nothing of removals');
-  const first = collectServerChanges(sent, list('e1', 'e3'), true);
+  const first = collectServerChanges(sent, list('e1', 'e3'), true, 0);
   t.ok(first.isSnapshot);
   t.strictSame(
     first.servers.map(({ id }) => id),
     ['e1', 'e3'],
     'also those that were sent before',
   );
-  const next = collectServerChanges(sent, list('e3'), true);
+  const next = collectServerChanges(sent, list('e3'), true, 0);
   t.notOk(next.isSnapshot);
   t.strictSame(next.removed, ['e1']);
   t.end();
 });
+
+t.test('views carry cold times, not each renewal of them', (t) => {
+  const sent = createSentServers();
+  const server = createController('e1', []).getServer();
+  const send = (warmAtMs: number | undefined, nowMs: number): (number | undefined)[] =>
+    collectServerChanges(sent, new Map([['e1', { ...server, warmAtMs }]]), true, nowMs).servers.map(
+      ({ coldRemainingMs }) => coldRemainingMs,
+    );
+  t.strictSame(send(undefined, 0), [0]);
+  t.strictSame(send(9000, 1000), [8200], 'not shorter than it may be');
+  t.strictSame(send(9100, 2200), []);
+  t.strictSame(send(undefined, 9000), [], 'it has passed for the hosts as well');
+  t.strictSame(send(19_000, 10_000), [9200], 'cold again');
+  t.strictSame(send(undefined, 11_200), [0], 'warm earlier than it was told');
+  t.end();
+});
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -46,6 +46,7 @@
   const requestSchedules = createRequestSchedules({
     clock,
     getRequestLimit: options.serverNotices.getRequestLimit,
+    isCold: options.serverNotices.isCold,
   });
   const limitFeed = createLimitFeed({ clock, getLimits: options.serverNotices.getLimits });
   const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
@@ -105,6 +106,7 @@
     isUnreachable: faults.isUnreachable,
     measureUtilisation,
     getRequestLimit: options.serverNotices.getRequestLimit,
+    getColdMs: options.serverNotices.getColdMs,
     listControllers: (service) =>
       [...controllers].filter(([id]) => servers.get(id)?.service === service),
   });
@@ -187,6 +189,7 @@
         controller.listUnloadingModels().map((model) => `${id}/${model}`),
       );
       const loadingMs = replicas.computeLoadingMs();
+      const nowMs = clock.monotonicMs();
       const ageMs = options.listAge.getAgeMs();
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
@@ -216,7 +219,7 @@
           isCurrent: isCurrent && state !== undefined,
           ...(state === undefined
             ? { servers: [], removed: [], isSnapshot: false }
-            : collectServerChanges(state.sentServers, servers, isCurrent)),
+            : collectServerChanges(state.sentServers, servers, isCurrent, nowMs)),
         };
       };
     },
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -28,7 +28,10 @@
   confirmLeadership: () => Promise<boolean>;
   /** Whether this host is known to be the leader at this moment, without asking the store. */
   isLeadershipConfirmed: () => boolean;
-  serverNotices: Pick<ServerNotices, 'getPauseMs' | 'getRequestLimit' | 'getLimits'>;
+  serverNotices: Pick<
+    ServerNotices,
+    'getPauseMs' | 'getRequestLimit' | 'getLimits' | 'getColdMs' | 'isCold'
+  >;
   /** Age of this host's list of servers. */
   listAge: Pick<ListAge, 'getAgeMs'>;
   /** Levels of the organisations' token buckets as this host last knew them. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -87,7 +87,10 @@
   placement: PlacementClient;
   quarantine: QuarantineClient;
   requestLimiter: RequestLimiter;
-  serverNotices: Pick<ServerNotices, 'getRequestLimit' | 'getPauseMs'>;
+  serverNotices: Pick<
+    ServerNotices,
+    'getRequestLimit' | 'getPauseMs' | 'getColdMs' | 'getColdAgeMs' | 'recordDisconnection'
+  >;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
--- a/tests/support/limitSimulation.ts
+++ b/tests/support/limitSimulation.ts
@@ -4,11 +4,20 @@
   createRequestLimiter,
   type MemberRequestLimiter,
 } from '#dist/serving/createFleetMember/_lib/createRequestLimiter.js';
+import { createSentServers } from '#dist/serving/startFleetLeader/_lib/collectServerChanges.js';
 import { createServerNotices } from '#dist/serving/createServerNotices/index.js';
 import {
   createRequestSchedules,
   type RequestSchedules,
 } from '#dist/serving/startFleetLeader/_lib/createRequestSchedules.js';
+import {
+  buildColdConfiguration,
+  buildRegistrations,
+  COLD_FROM_MS,
+  COLD_UNTIL_MS,
+  giveRegistrations,
+  type InformedHost,
+} from './coldServers.js';
 
 /** Options of a simulated fleet. */
 export interface LimitSimulationOptions {
@@ -26,6 +35,8 @@
   leaderFailureMs?: number;
   /** Fraction of the hosts that lose their connection to the leader for some seconds, now and then. */
   cutFraction?: number;
+  /** What the configuration states for cold servers; half of them turn cold for a while. */
+  coldPerSecond?: number;
   /** Longest wait that a request bears for a server with a limit. */
   patienceMs?: number;
 }
@@ -34,6 +45,10 @@
 export interface LimitSimulationResult {
   /** Most requests that a server received in 4 s, as a fraction of what its limit allowed. */
   worstFraction: number;
+  /** Most requests that a cold server received in a second. */
+  worstColdSecond: number;
+  /** Requests per second that the same servers received in the last seconds, when they were warm. */
+  warmPerSecond: number;
   /** Requests that servers with limits received, as a fraction of their limits. */
   usedFraction: number;
   /** Requests that no server took, as a fraction of all. */
@@ -46,6 +61,9 @@
 const ROUND_MS = 200;
 const WINDOW_MS = 4000;
 const NOTICE_MS = 3000; // time that hosts are given once a server names a limit
+/** A host without a leader and the store takes all servers for cold ones by then. */
+const COLD_NOTICE_MS = 3000;
+const WARM_MS = 5000;
 const TOLD_MS = 500; // time that a host is given once a response has told it of a limit
 const RESPONSE_MS = 80;
 const LEADERLESS_MS = 3000;
@@ -61,10 +79,8 @@
   told: Map<Host, { perSecond: number; atMs: number }>;
 }
 
-interface Host {
-  notices: ReturnType<typeof createServerNotices>;
+interface Host extends InformedHost {
   limiter: MemberRequestLimiter;
-  isCut: boolean;
 }
 
 function readLimit({ limits }: Server): number {
@@ -101,7 +117,7 @@
   options: LimitSimulationOptions,
 ): Promise<LimitSimulationResult> {
   const { limitChangeMs = Infinity, leaderFailureMs = Infinity, cutFraction = 0 } = options;
-  const { patienceMs = 0 } = options;
+  const { patienceMs = 0, coldPerSecond = 0 } = options;
   const generator = xoroshiro128plus(options.seed);
   const draw = (): number => uniformFloat64(generator);
   const log = { info: () => undefined, warn: () => undefined, error: () => undefined };
@@ -122,12 +138,16 @@
     told: new Map<Host, { perSecond: number; atMs: number }>(),
   }));
   const hosts: Host[] = Array.from({ length: options.hosts }, (_, index) => {
-    const notices = createServerNotices({ clock, log });
+    const notices = createServerNotices({ clock, log, random: draw });
+    notices.setConfiguration(buildColdConfiguration(coldPerSecond));
     const isLed = (): boolean => leader !== undefined && !(hosts[index]?.isCut ?? false);
+    const getListAgeMs = (): number => nowMs - (hosts[index]?.completeAtMs ?? nowMs);
+    notices.setContact({ getListAgeMs, isLed });
     const limiter: MemberRequestLimiter = createRequestLimiter({
       clock,
       random: draw,
       getRequestLimit: notices.getRequestLimit,
+      isCold: notices.isCold,
       getHostCount: () => options.hosts,
       isLed,
       getLeader: () =>
@@ -140,7 +160,7 @@
         return true;
       },
     });
-    return { notices, limiter, isCut: false };
+    return { notices, limiter, isCut: false, sent: createSentServers(), completeAtMs: 0 };
   });
   const due: { atMs: number; run: () => void }[] = [];
   const schedule = (delayMs: number, run: () => void): void =>
@@ -176,7 +196,15 @@
     }
     refused += 1;
   };
+  let registered = buildRegistrations([], 0);
   const runRound = (): void => {
+    if (nowMs % 1200 === 0)
+      registered = buildRegistrations(
+        servers.map(({ id }) => id),
+        nowMs,
+      );
+    if (options.coldPerSecond !== undefined)
+      giveRegistrations(registered, hosts, leader && hosts[leader.index], nowMs);
     const led = hosts.filter(({ isCut }, index) => !isCut || leader?.index === index);
     const leading = leader === undefined ? undefined : hosts[leader.index];
     if (leader === undefined || leading === undefined) return;
@@ -196,8 +224,12 @@
     if (leader === undefined && nowMs >= leaderlessUntilMs) {
       const index = Math.floor(draw() * hosts.length);
       const getRequestLimit = (id: string) => hosts[index]?.notices.getRequestLimit(id) ?? Infinity;
-      leader = { index, schedules: createRequestSchedules({ clock, getRequestLimit }) };
-      for (const { notices } of hosts) notices.resetTaken();
+      const isCold = (id: string): boolean => hosts[index]?.notices.isCold(id) ?? false;
+      leader = { index, schedules: createRequestSchedules({ clock, getRequestLimit, isCold }) };
+      for (const host of hosts) {
+        host.notices.resetTaken();
+        host.sent = createSentServers();
+      }
     }
     if (isDue(6000)) for (const host of hosts) host.isCut = draw() < cutFraction;
   };
@@ -220,7 +252,21 @@
     (sum, { arrivalsAtMs }) => sum + arrivalsAtMs.filter((atMs) => atMs >= NOTICE_MS).length,
     0,
   );
+  const cold = servers.slice(0, servers.length / 2);
+  const countCold = (fromMs: number, untilMs: number): number[] =>
+    cold.map(
+      ({ arrivalsAtMs }) => arrivalsAtMs.filter((at) => at >= fromMs && at < untilMs).length,
+    );
+  const coldSeconds = Array.from(
+    { length: (COLD_UNTIL_MS - COLD_FROM_MS - COLD_NOTICE_MS) / 100 - 10 },
+    (_, index) => COLD_FROM_MS + COLD_NOTICE_MS + 100 * index,
+  );
+  const warmFromMs = options.durationMs - WARM_MS;
   return {
+    worstColdSecond: Math.max(...coldSeconds.flatMap((from) => countCold(from, from + 1000))),
+    warmPerSecond:
+      countCold(warmFromMs, options.durationMs).reduce((sum, count) => sum + count, 0) /
+      (cold.length * (WARM_MS / 1000)),
     worstFraction: Math.max(...servers.map(computeWorstFraction)),
     usedFraction: received / Math.max(1e-9, (allowed * (options.durationMs - NOTICE_MS)) / 1000),
     refusedFraction: refused / Math.max(1, requests),
