Suspect a restart of an engine after any connection that it ended

A host kept to the limit of cold engines after a connection that an engine ended before it had answered, not in the middle of an answer, although a process that ends breaks both. The planner also read the suspicion as a limit that lasts, and would have placed replicas elsewhere.

--- a/src/serving/createServerNotices/_lib/createColdStates.ts
+++ b/src/serving/createServerNotices/_lib/createColdStates.ts
@@ -181,7 +181,8 @@
     },
     getLimit: (incarnation, inMs = 0) => {
       const state = states.get(incarnation);
-      const coldMs = isSuspected(state) ? Infinity : computeColdMs(state) - inMs;
+      const mayBeCold = inMs === 0 && isSuspected(state);
+      const coldMs = mayBeCold ? Infinity : computeColdMs(state) - inMs;
       return computeColdLimit({ coldMs, perSecond: readLimit(state) });
     },
     countCold: () => [...states.values()].filter((state) => computeColdMs(state) > 0).length,
--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -43,6 +43,8 @@
   longestPauseMs?: number;
   /** Whether the server ended the connection when it had not begun to answer, or only just. */
   isCrashSuspected: boolean;
+  /** Whether the server ended the connection at any time, as one that starts again does. */
+  isDisconnected: boolean;
 }
 
 /** Options of running one attempt and relaying its response. */
@@ -79,6 +81,7 @@
     status: 0,
     lastEventId,
     isCrashSuspected: false,
+    isDisconnected: false,
   };
   return new Promise((resolve) => {
     let isFinished = false;
@@ -235,6 +238,7 @@
         onEnd,
         onFailure: (failure, reason, isDisconnected) => {
           clearTimeout(orphanTimer);
+          result.isDisconnected = isDisconnected;
           result.isCrashSuspected = isDisconnected && !isOutputSustained;
           finish(AttemptOutcome.failed, reason, failure);
         },
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -117,7 +117,7 @@
   });
   trackedRequest.release(toServerOutcome(result));
   if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
-  if (result.isCrashSuspected || result.failure === AttemptFailure.unreachable)
+  if (result.isDisconnected || result.failure === AttemptFailure.unreachable)
     context.serverNotices.recordDisconnection(server.incarnation);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
