Log the cold engine that a choice has skipped

Operators could not tell why an engine stays empty while others are full. The line of a request names the cold engine that its last choice would have preferred if it were warm (skippedCold), for how long it is cold (coldMs) and the age of the message that said so (coldAgeMs).

--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -5,10 +5,11 @@
   computePatienceMs,
 } from '../../../decisions/serving/computeMaximumDelayMs/index.js';
 import { computeModelWaitMs } from '../../../decisions/serving/computeModelWaitMs/index.js';
+import { findSkippedCold } from '../../../decisions/serving/findSkippedCold/index.js';
 import { rankServers } from '../../../decisions/serving/rankServers/index.js';
 import type { RankedServer } from '../../../decisions/serving/types.js';
 import type { BackendServer } from '../../../ports/serving.js';
-import { computeRemainingMs, type RequestState } from './requestState.js';
+import { computeRemainingMs, type RequestState, type SkippedColdServer } from './requestState.js';
 
 const MAX_ADAPTER_CANDIDATES = 3; // engines that the leader may choose from
 
@@ -71,16 +72,33 @@
   usefulWaitMs: number;
 }
 
-function toServerSelection(
+/** Describes the cold server that would have been chosen if it were warm, for the log. */
+function describeSkippedCold(
   { context }: RequestState,
+  skipped: RankedServer | undefined,
+): SkippedColdServer | undefined {
+  const { serverNotices, serverRegistry } = context;
+  const server = skipped && serverRegistry.findServer(skipped.candidate.id);
+  if (server === undefined) return undefined;
+  return {
+    skippedCold: server.id,
+    coldMs: Math.round(serverNotices.getColdMs(server.incarnation)),
+    coldAgeMs: Math.round(serverNotices.getColdAgeMs(server.incarnation)),
+  };
+}
+
+/** Picks a ranked server, and records the cold one that it goes before. */
+function pickRankedServer(
+  state: RequestState,
   ranked: readonly RankedServer[],
   id: string,
 ): ServerSelection | undefined {
   const chosen = ranked.find(({ candidate }) => candidate.id === id);
-  const server = context.serverRegistry.findServer(id);
+  const server = state.context.serverRegistry.findServer(id);
   if (chosen === undefined || server === undefined) return undefined;
   const { candidate, delayMs, uncachedTokens } = chosen;
   const { waitMs } = candidate;
+  state.skippedCold = describeSkippedCold(state, findSkippedCold(ranked, chosen));
   const otherScoresMs = ranked.filter((other) => other !== chosen).map(({ scoreMs }) => scoreMs);
   const usefulWaitMs = Math.max(0, Math.min(...otherScoresMs) - (chosen.scoreMs - waitMs));
   return { server, delayMs, waitMs, uncachedTokens, usefulWaitMs };
@@ -94,7 +112,7 @@
   const best = ranked[0];
   if (best === undefined) return undefined;
   if (model === undefined || adapter === undefined || best.candidate.holdsAdapter)
-    return toServerSelection(state, ranked, best.candidate.id);
+    return pickRankedServer(state, ranked, best.candidate.id);
   const servers = ranked.slice(0, MAX_ADAPTER_CANDIDATES).map(({ candidate }) => candidate.id);
   const grant = await context.placement.requestAdapter({
     model,
@@ -108,8 +126,8 @@
     // It may have announced its leave since it was chosen.
     if (context.serverRegistry.findServer(grant.server)?.isLeaving === true)
       return chooseServer(state);
-    return toServerSelection(state, ranked, grant.server);
+    return pickRankedServer(state, ranked, grant.server);
   }
   const holder = ranked.find(({ candidate }) => candidate.holdsAdapter);
-  return holder && toServerSelection(state, ranked, holder.candidate.id);
+  return holder && pickRankedServer(state, ranked, holder.candidate.id);
 }
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -30,6 +30,14 @@
   return parts.slice(0, -1).map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
 }
 
+/** A server that was not chosen for being cold, for the log. */
+export interface SkippedColdServer {
+  skippedCold: string;
+  coldMs: number;
+  /** Milliseconds since the news of its cold time arrived. */
+  coldAgeMs: number;
+}
+
 /** State of a request while it is served. */
 export interface RequestState {
   context: ServingContext;
@@ -52,6 +60,8 @@
   /** Reason for the end of the last attempt. */
   lastReason: string;
   lastServer?: string;
+  /** The cold server that the last choice would otherwise have preferred. */
+  skippedCold?: SkippedColdServer;
   /** Age of the list of servers at the last choice, in milliseconds. */
   serversAgeMs?: number;
 }
@@ -90,6 +100,7 @@
       sharedParts: state.attemptsRun > 0 ? listSharedPartIds(request).join() : undefined,
       version: context.getConfigurationVersion(),
       serversAgeMs: state.serversAgeMs === undefined ? undefined : Math.round(state.serversAgeMs),
+      ...state.skippedCold,
       ...logFields,
     },
     reason,
