--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -54,6 +54,7 @@
     isEvacuated: evacuations.isEvacuated,
     getWaitMs: (id) =>
       Math.max(serverNotices.getPauseMs(id), fleetMember.requestLimiter.getWaitMs(id)),
+    getColdMs: serverNotices.getShiftedColdMs,
   });
   const freshness = computeFreshnessLimits(settings.maximumStalenessMs);
   const listAge = createListAge(clock, { onComplete: () => listRefresh.recordRead() });
@@ -79,6 +80,7 @@
         'configuration in force',
       );
       configuration = decoded;
+      serverNotices.setConfiguration(decoded);
       serverRegistry.setConfiguration(decoded);
       fleetMember.setConfiguration(decoded, value);
       callerListener.setConfiguration(decoded);
@@ -111,6 +113,7 @@
     onConfiguration: (value) => applyConfiguration(Buffer.from(value), 'peer'),
     onServers: (changes) => serverWatch.applyLeaderChanges(changes),
   });
+  serverNotices.setContact({ getListAgeMs: listAge.getAgeMs, isLed: fleetMember.isLed });
   const serversPause = createPause();
   const listRefresh = createListRefresh({
     listAge,
@@ -221,7 +224,8 @@
     serverRegistry.setServers(servers);
     fleetMember.setServers(servers);
   };
-  serverNotices.onLeave(applyServers);
+  serverNotices.onChange(applyServers);
+  metrics.setColdServerCounter(serverNotices.countCold);
   const serverWatch = watchServers({
     store,
     prefix: options.servers.prefix,
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -6,14 +6,14 @@
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 import { createFleetTransport, type FleetConnection } from '../createFleetTransport/index.js';
 import {
-  MAX_REPORTED_LEAVES,
   type FleetLevelsMessage,
   type FleetMessage,
   type FleetReport,
   type FleetView,
   type SentRequestLimit,
 } from '../fleetMessages.js';
-import { decodeRequestLimits, encodeRequestLimits } from '../requestLimitMessages.js';
+import { decodeColdTimes } from '../coldTimeMessages.js';
+import { decodeRequestLimits } from '../requestLimitMessages.js';
 import { startFleetLeader, type FleetLeader } from '../startFleetLeader/index.js';
 import type { FleetMember, FleetMemberOptions } from './types.js';
 import { decodeConfigurationValue } from './_lib/configurationValue.js';
@@ -27,8 +27,9 @@
 import { createPlacementClient } from './_lib/createPlacementClient.js';
 import { createReportLog } from './_lib/createReportLog.js';
 import { createRequestLimiter } from './_lib/createRequestLimiter.js';
+import { collectReport } from './_lib/collectReport.js';
 import { createWatchTimes } from './_lib/createWatchTimes.js';
-import { createUsageTracker, encodeLoads } from './_lib/createUsageTracker.js';
+import { createUsageTracker } from './_lib/createUsageTracker.js';
 
 const ROUND_INTERVAL_MS = 200; // older loads make hosts misroute a burst; see docs/platform.md
 const MAX_VIEW_AGE_MS = 1500; // several rounds; after that placement counts as unavailable
@@ -71,30 +72,21 @@
     clock,
     random: options.random,
     getRequestLimit: serverNotices.getRequestLimit,
+    isCold: serverNotices.isCold,
     getHostCount: serverRegistry.getHostCount,
     isLed: () => isPlacementAvailable(),
     getLeader: () => leader,
     sendToLeader: (message) => transport.sendToLeader(message),
   });
 
-  const buildReport = (): FleetReport => ({
-    type: 'report',
-    host,
-    incarnation: options.incarnation,
-    number: reports.add(),
-    version: configurations.getVersion(),
-    loads: encodeLoads(serverRegistry.getOwnLoads()),
-    admitted: Object.fromEntries(rateLimiter.getAdmitted()),
-    shares: Object.fromEntries(rateLimiter.getShares()),
-    demand: usage.takeDemand(),
-    requests: usage.takeRequests(),
-    inUse: usage.listInUse(),
-    silent: serverRegistry.listSilent(),
-    unreachable: serverRegistry.listUnreachable(),
-    leaving: serverNotices.listUnregistered().slice(0, MAX_REPORTED_LEAVES),
-    limits: encodeRequestLimits(serverNotices.takeChangedLimits(), clock.monotonicMs()),
-    ...quarantine.evidence.takeReport(),
-  });
+  const buildReport = (): FleetReport =>
+    collectReport({
+      ...options,
+      number: reports.add(),
+      version: configurations.getVersion(),
+      usage,
+      crashes: quarantine.evidence.takeReport(),
+    });
 
   const recordLimits = (sent: readonly SentRequestLimit[]): void =>
     serverNotices.recordLimits(decodeRequestLimits(sent, clock.monotonicMs()));
@@ -157,9 +149,10 @@
         leader,
         admissionUpdates,
         configurations,
-        recordNotices: ({ leaving, limits }) => {
+        recordNotices: ({ leaving, limits, cold }) => {
           serverNotices.recordLeaving(leaving);
           recordLimits(limits);
+          serverNotices.recordColdTimes(decodeColdTimes(cold, clock.monotonicMs()));
         },
         handleConfiguration,
       }),
@@ -237,6 +230,7 @@
     placement,
     quarantine: quarantine.client,
     requestLimiter,
+    isLed: isPlacementAvailable,
     setSavedPartGroups: quarantine.setSavedPartGroups,
     listen: transport.listen,
     setHosts: (hosts) => {
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -19,6 +19,8 @@
   setLeading: (isLeading: boolean) => void;
   /** Sets the source of the evacuated data centres, each with the requests that run there. */
   observeEvacuations: (readRunning: () => ReadonlyMap<string, number>) => void;
+  /** Sets the function that counts the cold servers, called with each rendering. */
+  setColdServerCounter: (count: () => number) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
 }
@@ -66,6 +68,15 @@
           this.set({ data_centre: dataCentre }, value);
       },
     });
+  let countCold = (): number => 0;
+  new Gauge({
+    name: 'bronzelanding_cold_servers',
+    help: 'Servers that are cold, as this host knows',
+    registers,
+    collect() {
+      this.set(countCold());
+    },
+  });
   return {
     render: () => registry.metrics(),
     countRequest: (route, status, reason) =>
@@ -87,6 +98,9 @@
         readRunning,
       );
     },
+    setColdServerCounter: (count) => {
+      countCold = count;
+    },
     countOmittedLogLine: () => omitted.inc(),
   };
 }
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -30,6 +30,14 @@
   return parts.slice(0, -1).map(({ id }) => id.slice(0, MAX_PART_ID_LENGTH));
 }
 
+/** A server that was not chosen for being cold, for the log. */
+export interface SkippedColdServer {
+  skippedCold: string;
+  coldMs: number;
+  /** Milliseconds since the news of its cold time arrived. */
+  coldAgeMs: number;
+}
+
 /** State of a request while it is served. */
 export interface RequestState {
   context: ServingContext;
@@ -54,6 +62,8 @@
   /** Reason for the end of the last attempt. */
   lastReason: string;
   lastServer?: string;
+  /** The cold server that the last choice would otherwise have preferred. */
+  skippedCold?: SkippedColdServer;
   /** Age of the list of servers at the last choice, in milliseconds. */
   serversAgeMs?: number;
   /** Evacuated data centres whose servers the last choice skipped. */
@@ -103,6 +113,7 @@
       version: context.getConfigurationVersion(),
       serversAgeMs: state.serversAgeMs === undefined ? undefined : Math.round(state.serversAgeMs),
       ...describeEvacuated(state),
+      ...state.skippedCold,
       ...logFields,
     },
     reason,
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -107,6 +107,8 @@
   trackedRequest.release(toServerOutcome(result));
   state.mayHaveRun ||= mayHaveRun(result);
   if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
+  if (result.isDisconnected || result.failure === AttemptFailure.unreachable)
+    context.serverNotices.recordDisconnection(server.incarnation);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
   for (const name of usedNames) context.recordModelUse(server.id, name, -1);
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -53,6 +53,7 @@
   const requestSchedules = createRequestSchedules({
     clock,
     getRequestLimit: options.serverNotices.getRequestLimit,
+    isCold: options.serverNotices.isCold,
   });
   const limitFeed = createLimitFeed({ clock, getLimits: options.serverNotices.getLimits });
   const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
@@ -114,6 +115,7 @@
     isUnreachable: faults.isUnreachable,
     measureUtilisation,
     getRequestLimit: options.serverNotices.getRequestLimit,
+    getColdMs: options.serverNotices.getColdMs,
     // Replicas in an evacuated data centre serve nobody, so that their models are loaded elsewhere.
     listControllers: (service) =>
       [...controllers].filter(([id]) => {
@@ -202,6 +204,7 @@
       );
       const loadingMs = replicas.computeLoadingMs();
       const evacuations = options.evacuations.encode();
+      const nowMs = clock.monotonicMs();
       const ageMs = options.listAge.getAgeMs();
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
@@ -232,7 +235,7 @@
           isCurrent: isCurrent && state !== undefined,
           ...(state === undefined
             ? { servers: [], removed: [], isSnapshot: false }
-            : collectServerChanges(state.sentServers, servers, isCurrent)),
+            : collectServerChanges(state.sentServers, servers, isCurrent, nowMs)),
         };
       };
     },
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -29,7 +29,10 @@
   confirmLeadership: () => Promise<boolean>;
   /** Whether this host is known to be the leader at this moment, without asking the store. */
   isLeadershipConfirmed: () => boolean;
-  serverNotices: Pick<ServerNotices, 'getPauseMs' | 'getRequestLimit' | 'getLimits'>;
+  serverNotices: Pick<
+    ServerNotices,
+    'getPauseMs' | 'getRequestLimit' | 'getLimits' | 'getColdMs' | 'isCold'
+  >;
   /** The evacuated data centres as this host knows them. */
   evacuations: Pick<Evacuations, 'isEvacuated' | 'encode'>;
   /** Age of this host's list of servers. */
--- a/tests/silentConnections.test.ts
+++ b/tests/silentConnections.test.ts
@@ -156,6 +156,7 @@
       unreachable: [],
       leaving: [],
       limits: [],
+      cold: [],
       crashes: [],
       servedParts: [],
     });
