Test the limit of cold servers where no warm one takes the load

The test of cold servers on real hosts passed without the limit as well, since the estimated delay alone sent nearly all requests to the other server. Both servers register as cold now, and each gets at least one request and no more than allowed in a second.

--- a/tests/limitedServers.test.ts
+++ b/tests/limitedServers.test.ts
@@ -78,7 +78,7 @@
   t.ok(worst >= 4, `${worst} requests in a window: it still receives half of what it takes`);
 });
 
-t.test('spares a server that registers as cold, and uses it once it is warm', async (t) => {
+t.test('spares servers that register as cold, and uses them once they are warm', async (t) => {
   const fleet = await startServers(t, 3);
   const services = (buildConfiguration(2) as { services: { name: string }[] }).services;
   const cold = { cold_start_s: 5, cold_per_s: 2 };
@@ -87,7 +87,8 @@
   await sendFor(fleet, 1000);
   const register = (remainingMs: number, sequence: number): void => {
     const change = { cold_remaining_ms: remainingMs, sequence };
-    fleet.store.put('servers/s1', fleet.first.buildRegistration(change));
+    for (const server of fleet.engines)
+      fleet.store.put(`servers/${server.id}`, server.buildRegistration(change));
   };
   register(5000, 2);
   const coldAtMs = performance.now();
@@ -97,15 +98,16 @@
     register(remainingMs, 2 + (5000 - remainingMs) / 1200);
   }
   const statuses = await sending;
-  t.ok(statuses.every((status) => status === 200));
-  const countSince = (fromMs: number, forMs: number): number =>
-    fleet.first.receivedRequests.filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + forMs)
-      .length;
+  t.ok(statuses.every((status) => status === 200 || status === 503));
   const seconds = Array.from({ length: 30 }, (_, index) => coldAtMs + 1000 + 100 * index);
-  const worst = Math.max(...seconds.map((fromMs) => countSince(fromMs, 1000)));
-  t.ok(worst <= 1.5 * 2 + 5, `${worst} in a second while cold`);
-  const warm = countSince(coldAtMs + 6800, 1000);
-  t.ok(warm > 8, `${warm} in a second once it is warm`);
+  for (const { receivedRequests } of fleet.engines) {
+    const countSince = (fromMs: number): number =>
+      receivedRequests.filter(({ atMs }) => atMs >= fromMs && atMs < fromMs + 1000).length;
+    const worst = Math.max(...seconds.map(countSince));
+    t.ok(worst <= 1.5 * 2 + 5 && worst >= 1, `${worst} in a second while cold`);
+    const warm = countSince(coldAtMs + 6800);
+    t.ok(warm > 8, `${warm} in a second once it is warm`);
+  }
 });
 
 t.test('follows a limit that changes, and its end', async (t) => {
