Share the pace of servers among the hosts

What callers saw: on a deployment with 71 hosts and 98 engines of different speeds, a quarter of the short streams were late though their first event came in time: they paused beyond what their route accepts. A host gets one or two responses of an engine in half a minute, so that it never learned which engines are slow.

Change: hosts report the time to first byte against its estimate, and the streams that paused for too long, by server; the leader computes the paces of the servers once a second and passes them on in its views. A host with few responses of its own uses the fleet's latency ratio. Streams of routes that declare a longest pause avoid servers whose streams pause for too long. Decisions in src/decisions/pace.

--- /dev/null
+++ b/src/decisions/pace/computeSlowStreamCost/index.ts
@@ -0,0 +1,20 @@
+/** A stream on a server, as far as its pace is concerned. */
+export interface SlowStreamOptions {
+  /** Fraction of the server's recent streams that paused for too long, from 0 to 1. */
+  slowShare: number;
+  /** Whether the route declares the longest pause between events. */
+  hasPauseTarget: boolean;
+}
+
+// A stream that pauses for too long is late for its caller, as one whose first event comes a second or
+// two after its target.
+const SLOW_STREAM_MS = 1500;
+
+/**
+ * Computes how many milliseconds of delay a server's pace counts for in the choice of a server. Answers
+ * the load of long prompts on servers of different speeds: the first event comes soon everywhere, but on
+ * a slow server the prompts of others make running streams pause beyond what their callers accept.
+ */
+export function computeSlowStreamCost({ slowShare, hasPauseTarget }: SlowStreamOptions): number {
+  return hasPauseTarget ? SLOW_STREAM_MS * slowShare : 0;
+}
--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -1,3 +1,4 @@
+import { computeSlowStreamCost } from '../../pace/computeSlowStreamCost/index.js';
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
 import type { RankedServer, RoutedRequest, ServerCandidate } from '../types.js';
 
@@ -83,7 +84,9 @@
       const loadMs = candidate.memoryTokens > 0 ? 0 : candidate.active * costMs;
       // An exponential distribution, whose long tail leaves no server without a chance.
       const spreadMs = -Math.log(1 - random()) * spread * costMs;
-      const scoreMs = delayMs + loadMs + spreadMs;
+      const { hasPauseTarget = false } = request;
+      const paceMs = computeSlowStreamCost({ slowShare: candidate.slowShare, hasPauseTarget });
+      const scoreMs = delayMs + loadMs + paceMs + spreadMs;
       return {
         ranked: { candidate, delayMs, scoreMs, uncachedTokens },
         load: candidate.active / candidate.slots,
--- a/src/decisions/serving/rankServers/test.ts
+++ b/src/decisions/serving/rankServers/test.ts
@@ -16,6 +16,7 @@
   failureRate: 0,
   serviceTimeMs: 500,
   latencyRatio: 1,
+  slowShare: 0,
   waitMs: 0,
   ...change,
 });
--- a/src/decisions/serving/types.ts
+++ b/src/decisions/serving/types.ts
@@ -25,6 +25,8 @@
   serviceTimeMs: number;
   /** Ratio of the measured to the estimated time to first byte. */
   latencyRatio: number;
+  /** Fraction of its recent streams that paused for too long, from 0 to 1. */
+  slowShare: number;
   /** Milliseconds until it wants another request. */
   waitMs: number;
 }
@@ -46,6 +48,8 @@
   sharedTokens: number;
   /** Whether engines process it before requests that are not urgent. */
   isUrgent: boolean;
+  /** Whether its caller accepts pauses between events up to a limit only; false by default. */
+  hasPauseTarget?: boolean;
   /** Tokens that are not shared: the rest of the prompt and the maximum output. */
   unsharedTokens: number;
 }
--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -30,6 +30,8 @@
   timeoutMs: number;
   /** Target time for the response, or for the first event of a stream. */
   latencyTargetMs: number;
+  /** Longest pause between the events of a stream that callers accept; omitted where it is not declared. */
+  pauseTargetMs?: number;
   /** Priority; 0 is the most urgent. */
   priority: number;
   /** Services among which the requests are split. */
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -11,6 +11,7 @@
 import { createEpochStore } from '../../../serving/createEpochStore/index.js';
 import { createListRefresh } from '../../../serving/createListRefresh/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
+import { createServerPaces } from '../../../serving/createServerPaces/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
 import { watchServers } from '../../../serving/watchServers/index.js';
@@ -39,9 +40,11 @@
   const incarnation = randomUUID();
   const stopping = new AbortController();
   const { signal } = stopping;
+  const serverPaces = createServerPaces();
   const serverRegistry = createServerRegistry({
     clock,
     log,
+    paces: serverPaces,
     dataCentre: options.dataCentre,
     getWaitMs: (id) =>
       Math.max(serverNotices.getPauseMs(id), fleetMember.requestLimiter.getWaitMs(id)),
@@ -88,6 +91,7 @@
     orders: options.orders,
     serverRegistry,
     serverNotices,
+    serverPaces,
     rateLimiter,
     retryBudget,
     host,
@@ -124,6 +128,7 @@
     quarantine: fleetMember.quarantine,
     requestLimiter: fleetMember.requestLimiter,
     serverNotices,
+    serverPaces,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -4,6 +4,7 @@
 import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
 import { formatError } from '../../errors/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import { decodeServerPaces, encodePaceSamples } from '../paceMessages.js';
 import { createFleetTransport, type FleetConnection } from '../createFleetTransport/index.js';
 import {
   MAX_REPORTED_LEAVES,
@@ -35,7 +36,8 @@
 
 /** Creates this host's member of the fleet. */
 export function createFleetMember(options: FleetMemberOptions): FleetMember {
-  const { clock, log, serverRegistry, serverNotices, rateLimiter, retryBudget, host } = options;
+  const { clock, log, serverRegistry, serverNotices, serverPaces, rateLimiter, retryBudget, host } =
+    options;
   let leader: FleetLeader | undefined;
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
@@ -92,6 +94,7 @@
     unreachable: serverRegistry.listUnreachable(),
     leaving: serverNotices.listUnregistered().slice(0, MAX_REPORTED_LEAVES),
     limits: encodeRequestLimits(serverNotices.takeChangedLimits(), clock.monotonicMs()),
+    paces: encodePaceSamples(serverPaces.takeSamples()),
     ...quarantine.evidence.takeReport(),
   });
 
@@ -108,6 +111,7 @@
     serverRegistry.setUnloadingModels(new Set(view.leavingModels));
     serverRegistry.setSuspects(new Set(view.suspects));
     if (view.limits !== undefined) recordLimits(view.limits);
+    if (view.paces !== undefined) serverPaces.setFleetPaces(decodeServerPaces(view.paces));
     if (view.quarantine !== undefined) quarantine.evidence.setQuarantine(view.quarantine, 'leader');
     modelReadyAtMs = new Map(
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -6,6 +6,7 @@
 import type { OrganisationRateLimiter } from '../createOrganisationRateLimiter/index.js';
 import type { ServiceRetryBudget } from '../createServiceRetryBudget/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
+import type { ServerPaces } from '../createServerPaces/index.js';
 import type { ServerRegistry } from '../createServerRegistry/index.js';
 import type { ListAge } from '../createListAge/index.js';
 import type { LeaderChanges } from '../watchServers/index.js';
@@ -58,6 +59,7 @@
   orders: ModelOrderClient;
   serverRegistry: ServerRegistry;
   serverNotices: ServerNotices;
+  serverPaces: ServerPaces;
   rateLimiter: OrganisationRateLimiter;
   retryBudget: ServiceRetryBudget;
   host: string;
--- a/src/serving/createOrganisationRateLimiter/test.ts
+++ b/src/serving/createOrganisationRateLimiter/test.ts
@@ -22,6 +22,7 @@
     unreachable: [],
     leaving: [],
     limits: [],
+    paces: {},
     requests: {},
     crashes: [],
     servedParts: [],
--- a/src/serving/createServerRegistry/_lib/serverHealth.ts
+++ b/src/serving/createServerRegistry/_lib/serverHealth.ts
@@ -24,6 +24,8 @@
   serviceTimeMs: number;
   /** Moving average of measured over estimated time to first byte. */
   latencyRatio: number;
+  /** Responses in that average. */
+  measuredResponses: number;
 }
 
 const FAILURE_WEIGHT = 0.2; // averages over about five attempts
@@ -49,6 +51,7 @@
     busySinceMs: Infinity,
     serviceTimeMs: INITIAL_SERVICE_TIME_MS,
     latencyRatio: 1,
+    measuredResponses: 0,
   };
 }
 
@@ -69,19 +72,26 @@
   return health.streak > 0 && nowMs < health.avoidUntilMs;
 }
 
-/** Updates the latency ratio with a measured and an estimated time to first byte. */
+/** Computes what an estimate that was made with a latency ratio would be without it. */
+export function computeOrdinaryDelay(estimatedMs: number, latencyRatio: number): number {
+  return Math.max(MIN_ESTIMATE_MS, estimatedMs) / latencyRatio;
+}
+
+/**
+ * Updates the latency ratio with a measured time to first byte and its estimate, which was made with a
+ * latency ratio of the fleet or of this host.
+ */
 export function recordFirstByteDelay(
   health: ServerHealth,
   elapsedMs: number,
   estimatedMs: number,
   nowMs: number,
+  usedRatio: number,
 ): void {
   health.lastBytesAtMs = nowMs;
-  const ratio = elapsedMs / Math.max(MIN_ESTIMATE_MS, estimatedMs);
-  const boundedRatio = Math.min(
-    MAX_LATENCY_RATIO,
-    Math.max(MIN_LATENCY_RATIO, ratio * health.latencyRatio),
-  );
+  health.measuredResponses += 1;
+  const ratio = elapsedMs / computeOrdinaryDelay(estimatedMs, usedRatio);
+  const boundedRatio = Math.min(MAX_LATENCY_RATIO, Math.max(MIN_LATENCY_RATIO, ratio));
   health.latencyRatio += LATENCY_RATIO_WEIGHT * (boundedRatio - health.latencyRatio);
 }
 
--- a/src/serving/createServerRegistry/index.ts
+++ b/src/serving/createServerRegistry/index.ts
@@ -3,12 +3,14 @@
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { ServerPaces } from '../createServerPaces/index.js';
 import {
   createPrefixCacheEstimate,
   type PrefixCacheEstimate,
 } from './_lib/createPrefixCacheEstimate.js';
 import {
   computeFailureRate,
+  computeOrdinaryDelay,
   createServerHealth,
   isSilent,
   isUnreachable,
@@ -49,8 +51,9 @@
   dataCentre: string;
   /** Milliseconds until a server wants another request, by incarnation. */
   getWaitMs: (incarnation: string) => number;
+  paces: Pick<ServerPaces, 'recordFirstByteDelay' | 'getSlowShare' | 'getLatencyRatio'>;
 }): ServerRegistry {
-  const { clock, log, dataCentre, getWaitMs } = options;
+  const { clock, log, dataCentre, getWaitMs, paces } = options;
   const entries = new Map<string, Entry>();
   let remoteLoads: ReadonlyMap<string, ServerLoad> = new Map();
   let hostCount = DEFAULT_HOST_COUNT;
@@ -86,6 +89,9 @@
     );
   };
 
+  const findLatencyRatio = ({ server, health }: Entry): number =>
+    paces.getLatencyRatio(server.id, health.latencyRatio, health.measuredResponses);
+
   const toCandidate = (
     entry: Entry,
     query: ListCandidatesOptions,
@@ -109,7 +115,8 @@
       isInLocalDataCentre: server.dataCentre === dataCentre,
       failureRate: computeFailureRate(entry.health, nowMs),
       serviceTimeMs: entry.health.serviceTimeMs,
-      latencyRatio: entry.health.latencyRatio,
+      latencyRatio: findLatencyRatio(entry),
+      slowShare: paces.getSlowShare(server.id),
       waitMs: getWaitMs(server.incarnation),
     };
   };
@@ -208,6 +215,7 @@
       load.backlogTokens += backlogTokens;
       if (isUrgent) load.urgentBacklogTokens += backlogTokens;
       load.reservedTokens += reservedTokens;
+      const latencyRatio = findLatencyRatio(entry);
       let isInBacklog = true;
       const leaveBacklog = (): void => {
         if (!isInBacklog) return;
@@ -222,11 +230,12 @@
         recordFirstBytes: () => {
           leaveBacklog();
           entry.prefixCache.record(sharedParts, clock.monotonicMs());
-          recordFirstByteDelay(
-            entry.health,
-            clock.monotonicMs() - startedAtMs,
-            delayMs,
-            clock.monotonicMs(),
+          const nowMs = clock.monotonicMs();
+          recordFirstByteDelay(entry.health, nowMs - startedAtMs, delayMs, nowMs, latencyRatio);
+          paces.recordFirstByteDelay(
+            id,
+            nowMs - startedAtMs,
+            computeOrdinaryDelay(delayMs, latencyRatio),
           );
         },
         release: (outcome) => {
--- a/src/serving/createServerRegistry/test.ts
+++ b/src/serving/createServerRegistry/test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import { computeChoiceSpread } from '../../decisions/serving/computeChoiceSpread/index.js';
 import { createPrefixCacheEstimate } from './_lib/createPrefixCacheEstimate.js';
+import { createServerPaces } from '../createServerPaces/index.js';
 import { createServerRegistry } from './index.js';
 
 const parts = [
@@ -43,6 +44,7 @@
     log,
     dataCentre: 'a',
     getWaitMs: () => 0,
+    paces: createServerPaces(),
   });
   const buildEngine = (incarnation: string, adapters: string[]) => ({
     id: 'e1',
@@ -75,6 +77,7 @@
       log,
       dataCentre: 'a',
       getWaitMs: () => 0,
+      paces: createServerPaces(),
     });
     t.ok(computeChoiceSpread(registry.getHostCount()) > 0);
     registry.setHostCount(1);
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { paceSamplesSchema, serverPacesSchema } from './paceMessages.js';
 
 /** Longest name of a server, model, adapter or data centre in a message. */
 export const MAX_NAME_LENGTH = 256;
@@ -84,6 +85,8 @@
     crashes: z.array(crash).max(MAX_REPORTED_CRASHES).default([]),
     /** Milliseconds since this host last served requests with watched prompt parts, by part. */
     servedParts: z.array(z.tuple([name, z.number()])).default([]),
+    /** What this host measured of the responses of servers since its last report. */
+    paces: paceSamplesSchema.default({}),
   }),
   /** Aggregated state of the fleet that the leader sends to each host every round. */
   z.object({
@@ -126,6 +129,8 @@
     quarantine: quarantine.optional(),
     /** Request limits of all servers; only when one has changed since the last view. */
     limits: z.array(requestLimit).optional(),
+    /** Paces of all servers; only when they were computed anew since the last view. */
+    paces: serverPacesSchema.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -39,7 +39,7 @@
   lastEventId?: string;
   /** Milliseconds from the arrival of the request to the response head. */
   firstBytesMs?: number;
-  /** Longest time between two events of the stream; undefined with fewer than two. */
+  /** Longest time without an event once the stream has begun; undefined where it has not. */
   longestPauseMs?: number;
   /** Whether the server ended the connection when it had not begun to answer, or only just. */
   isCrashSuspected: boolean;
@@ -97,6 +97,7 @@
     const finish = (outcome: AttemptOutcome, reason: string, failure?: AttemptFailure): void => {
       if (isFinished) return;
       isFinished = true;
+      recordPause();
       clearTimeout(deadlineTimer);
       clearInterval(silenceTimer);
       response.signal.removeEventListener('abort', handleCallerAbort);
@@ -174,12 +175,14 @@
       abortAttempt(AttemptOutcome.failed, `no event ends within ${MAX_EVENT_BYTES} bytes`);
       return true;
     };
+    const recordPause = (): void => {
+      if (outputSinceMs === Infinity) return;
+      const pauseMs = Math.round(clock.monotonicMs() - lastBytesAtMs);
+      result.longestPauseMs = Math.max(result.longestPauseMs ?? 0, pauseMs);
+    };
     const recordOutput = (): void => {
+      recordPause();
       const nowMs = clock.monotonicMs();
-      if (outputSinceMs !== Infinity) {
-        const pauseMs = Math.round(nowMs - lastBytesAtMs);
-        result.longestPauseMs = Math.max(result.longestPauseMs ?? 0, pauseMs);
-      }
       lastBytesAtMs = nowMs;
       outputSinceMs = Math.min(outputSinceMs, nowMs);
       if (isOutputSustained || nowMs - outputSinceMs < SUSTAINED_OUTPUT_MS) return;
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -20,6 +20,7 @@
     sharedTokens,
     unsharedTokens: Math.max(0, promptTokens - sharedTokens) + maximumOutputTokens,
     isUrgent: request.route.priority === 0,
+    hasPauseTarget: request.route.pauseTargetMs !== undefined,
   };
 }
 
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -60,6 +60,17 @@
   return failure === AttemptFailure.broken ? ServerOutcome.failed : ServerOutcome.neutral;
 }
 
+/** Records whether a stream kept to the longest pause that its caller accepts. */
+function recordPace(
+  { context, request }: RequestState,
+  { id }: BackendServer,
+  { longestPauseMs }: AttemptResult,
+): void {
+  const { pauseTargetMs } = request.route;
+  if (pauseTargetMs === undefined || longestPauseMs === undefined) return;
+  context.serverPaces.recordStream(id, longestPauseMs > pauseTargetMs);
+}
+
 /** Lists the model and the adapter that a request uses, as `MODEL` and `MODEL/ADAPTER`. */
 function listUsedNames({ model, adapter }: ServingRequest): string[] {
   if (model === undefined) return [];
@@ -117,6 +128,7 @@
   });
   trackedRequest.release(toServerOutcome(result));
   if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
+  recordPace(state, server, result);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
   for (const name of usedNames) context.recordModelUse(server.id, name, -1);
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -13,6 +13,7 @@
   type SentServers,
 } from './_lib/collectServerChanges.js';
 import { createRequestSchedules } from './_lib/createRequestSchedules.js';
+import { createPaceMeter } from './_lib/createPaceMeter.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
 import { syncControllers } from './_lib/syncControllers.js';
@@ -48,6 +49,7 @@
     getRequestLimit: options.serverNotices.getRequestLimit,
   });
   const limitFeed = createLimitFeed({ clock, getLimits: options.serverNotices.getLimits });
+  const paces = createPaceMeter(clock);
   const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
@@ -143,6 +145,7 @@
       demand.record(report.demand);
       demand.recordRequests(report.requests);
       quarantine.recordReport(report);
+      paces.record(report.paces);
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -173,6 +176,7 @@
       state?.sentAdapters.clear();
       if (state !== undefined) state.sentServers = createSentServers();
       limitFeed.resetSent(host);
+      paces.resetSent(host);
       quarantine.resetSent(host);
     },
     prepareViews: (hostCount, isCurrent) => {
@@ -190,6 +194,7 @@
       const ageMs = options.listAge.getAgeMs();
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
+      paces.update(new Set(servers.keys()));
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
       return (host) => {
@@ -212,6 +217,7 @@
           suspects,
           quarantine: quarantine.takeState(host),
           limits: limitFeed.takeLimits(host),
+          paces: paces.takePaces(host),
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
           ...(state === undefined
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -5,6 +5,7 @@
 import type { OrganisationRateLimiter } from './createOrganisationRateLimiter/index.js';
 import type { ServiceRetryBudget } from './createServiceRetryBudget/index.js';
 import type { ServerNotices } from './createServerNotices/index.js';
+import type { ServerPaces } from './createServerPaces/index.js';
 import type { ServerRegistry } from './createServerRegistry/index.js';
 import type { ServingMetrics } from './createServingMetrics/index.js';
 
@@ -88,6 +89,7 @@
   quarantine: QuarantineClient;
   requestLimiter: RequestLimiter;
   serverNotices: Pick<ServerNotices, 'getRequestLimit' | 'getPauseMs'>;
+  serverPaces: Pick<ServerPaces, 'recordStream'>;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
--- a/tests/routingSpread.test.ts
+++ b/tests/routingSpread.test.ts
@@ -64,6 +64,7 @@
     failureRate: 0,
     serviceTimeMs: 500,
     latencyRatio: 1,
+    slowShare: 0,
     waitMs: 0,
   };
 }
