Count replicas on engines with slow streams as far as these are on time

Busy models stayed on engines whose streams paused for too long, as the planner took all engines for equally fast: on a deployment with engines of 0.55 and 1.2 times the ordinary speed 65 % of the streams that paused for too long ran on a quarter of the engines. The acceptance of an engine, which the planner has for request limits, now also falls with its share of slow streams; its utilisation does not.

--- a/src/decisions/replicas/computeAcceptance/test.ts
+++ b/src/decisions/replicas/computeAcceptance/test.ts
@@ -10,3 +10,10 @@
   t.equal(computeAcceptance({ limit: 2, requestRate: 0, engineCount: 0 }), 1);
   t.end();
 });
+
+t.test('an engine whose streams pause for too long counts as far as they are on time', (t) => {
+  const load = { limit: Infinity, requestRate: 40, engineCount: 12 };
+  t.equal(computeAcceptance({ ...load, slowShare: 0.25 }), 0.75);
+  t.equal(computeAcceptance({ ...load, slowShare: 1 }), 0.3);
+  t.end();
+});
--- a/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
+++ b/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
@@ -61,6 +61,8 @@
   measureUtilisation: (server: BackendServer, pool: EnginePool) => number;
   /** Requests per second that an engine takes, by incarnation; Infinity without a limit. */
   getRequestLimit: (incarnation: string) => number;
+  /** Fraction of an engine's recent streams that paused for too long. */
+  getSlowShare: (server: string) => number;
   /** Lists the engines of a service, each id with its controller. */
   listControllers: (service: string) => [string, EngineController][];
 }
@@ -68,7 +70,7 @@
 /** Creates the scheduler of replica moves. */
 export function createReplicaScheduler(options: ReplicaSchedulerOptions): ReplicaScheduler {
   const { clock, log, fence, demand, isInUse, measureUtilisation, listControllers } = options;
-  const { isUnreachable, getRequestLimit } = options;
+  const { isUnreachable, getRequestLimit, getSlowShare } = options;
   let loadStartsAtMs: number[] = [];
   const readyAtMs = new Map<string, number>();
   let firstDemandAtMs = Infinity;
@@ -80,8 +82,13 @@
   /** Moving averages over a few passes, by engine. */
   const utilisations = new Map<string, number>();
 
-  const measureAcceptance = (service: string, controller: EngineController): number =>
+  const measureAcceptance = (
+    service: string,
+    controller: EngineController,
+    slowShare = 0,
+  ): number =>
     computeAcceptance({
+      slowShare,
       limit: getRequestLimit(controller.getServer().incarnation),
       requestRate: demand.measureRequestRate(service),
       engineCount: listControllers(service).length,
@@ -120,7 +127,8 @@
     const engines = controllers
       .filter(([id, controller]) => !controller.getServer().isLeaving && !isUnreachable(id))
       .map(([id, controller]) => {
-        const acceptance = measureAcceptance(service, controller);
+        const limitAcceptance = measureAcceptance(service, controller);
+        const acceptance = measureAcceptance(service, controller, getSlowShare(id));
         const loadingModel = controller.getLoadingModel();
         return {
           id,
@@ -133,7 +141,7 @@
           usedMb: controller.computeUsedMb(),
           capacityMb: pool.weightsMb,
           // An engine that turns requests away is full, however few it has in flight.
-          utilisation: Math.max(utilisations.get(id) ?? 0, 1 - acceptance),
+          utilisation: Math.max(utilisations.get(id) ?? 0, 1 - limitAcceptance),
           acceptance,
           canLoad: controller.isFree() && nowMs >= (failedMoves.get(id)?.untilMs ?? -Infinity),
         };
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -107,6 +107,7 @@
     isUnreachable: faults.isUnreachable,
     measureUtilisation,
     getRequestLimit: options.serverNotices.getRequestLimit,
+    getSlowShare: (server) => paces.find(server)?.slowShare ?? 0,
     listControllers: (service) =>
       [...controllers].filter(([id]) => servers.get(id)?.service === service),
   });
