Count the delay of other requests in the choice of an engine

Cause: a request left the engine with its prefix as soon as that was a little slower for itself, and made another engine process the prefix again, which delayed all who waited there and evicted prefixes of others. The more engines were busy, the more requests did so.

Change: the work of a request counts once for itself and once for each request of its size that waits at a candidate on average (computeWorkWeight). While nobody waits nothing changes. The setting others-weight scales it, and it is used for streams whose route declares a longest pause.

--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -1,5 +1,6 @@
 import { computeSlowStreamCost } from '../../pace/computeSlowStreamCost/index.js';
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
+import { computeWorkWeight } from '../computeWorkWeight/index.js';
 import type { RankedServer, RoutedRequest, ServerCandidate } from '../types.js';
 
 const PROMPT_TOKENS_PER_MS = 38.7; // prefill speed that the operators state for their engines
@@ -58,13 +59,15 @@
    * server; 0 by default.
    */
   spread?: number;
+  /** How much the delay of others counts against that of the request itself; 0 by default. */
+  othersWeight?: number;
 }
 
 /**
  * Ranks candidates by the estimated delay of a request, the lowest first; the order is random as far
  * as `spread` says. Requests that share a prompt prefix prefer one server, as long as its prefix cache
  * saves more than its load costs; otherwise they prefer servers that have processed parts of the
- * prefix recently.
+ * prefix recently. With `othersWeight`, work counts the more the more requests wait.
  */
 export function rankServers(
   candidates: readonly ServerCandidate[],
@@ -72,19 +75,22 @@
   random: () => number,
   options: RankServersOptions = {},
 ): RankedServer[] {
-  const { spread = 0 } = options;
+  const { spread = 0, othersWeight = 0 } = options;
+  const { hasPauseTarget = false, sharedTokens, unsharedTokens } = request;
+  const tokens = sharedTokens + unsharedTokens;
+  const workWeight = computeWorkWeight(candidates, { tokens, othersWeight });
   const preferred = findPreferred(candidates, request.affinityKey);
   return candidates
     .map((candidate) => {
-      const cachedTokens = candidate === preferred ? request.sharedTokens : candidate.cachedTokens;
-      const uncachedTokens = request.unsharedTokens + request.sharedTokens - cachedTokens;
+      const cachedTokens = candidate === preferred ? sharedTokens : candidate.cachedTokens;
+      const uncachedTokens = tokens - cachedTokens;
       const delayMs = estimateDelay(candidate, request, cachedTokens);
       const costMs = estimateCost(candidate, uncachedTokens);
-      // Servers of plain services have the same delay until all slots are taken.
-      const loadMs = candidate.memoryTokens > 0 ? 0 : candidate.active * costMs;
+      // The work of a request delays others at engines; servers of plain services have the same delay until
+      // all slots are taken.
+      const loadMs = (candidate.memoryTokens > 0 ? workWeight - 1 : candidate.active) * costMs;
       // An exponential distribution, whose long tail leaves no server without a chance.
       const spreadMs = -Math.log(1 - random()) * spread * costMs;
-      const { hasPauseTarget = false } = request;
       const paceMs = computeSlowStreamCost({ slowShare: candidate.slowShare, hasPauseTarget });
       const scoreMs = delayMs + loadMs + paceMs + spreadMs;
       return {
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -133,6 +133,7 @@
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
     refreshServers: listRefresh.refresh,
+    othersWeight: settings.othersWeight,
     maximumResponseBytes: settings.maximumResponseBytes,
     getLastSendAtMs: () => lastSendAtMs,
   };
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -39,7 +39,10 @@
   state.serversAgeMs = context.getServersAgeMs();
   const spread = computeChoiceSpread(context.serverRegistry.getHostCount());
   return rankAcceptableFirst(
-    rankServers(candidates, routed, context.random, { spread }),
+    rankServers(candidates, routed, context.random, {
+      spread,
+      othersWeight: routed.hasPauseTarget === true ? context.othersWeight : 0,
+    }),
     computeMaximumDelayMs(request, computeRemainingMs(state)),
   );
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -102,6 +102,8 @@
    * off; Infinity unless this host is stopping.
    */
   getLastSendAtMs: () => number;
+  /** How much the delay of other requests counts in the choice of an engine; 0 for nothing. */
+  othersWeight: number;
   /** Longest body of a response that is no stream; a longer one is cut off. */
   maximumResponseBytes: number;
 }
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -197,6 +197,7 @@
     registrationIntervalMs: 500,
     firstStart: 'true',
     maximumResponseBytes: MAX_RESPONSE_BYTES,
+    othersWeight: 1,
     logLinesPerSecond: 1,
   });
 }
