Make room for models whose prompts wait

What callers saw: on a deployment with 305 models and room for 294, busy models kept too few replicas while 321 of some 680 possible loads were used: most places were held by last replicas of models that nobody requested.

Cause: the last replica of an idle model is unloaded for another one only if the slots or the memory of all its engines are half taken. Long prompts make an engine late at a tenth of its slots.

Change: the planner also measures the prompt work that waits, relative to the shortest latency target of the service's routes that declare a longest pause. Where it reaches half of the target at all engines of a model, the last replica of an idle model makes room. Models that are requested keep their last replica as before.

Measured: the test of planReplicaMove planned no move before.

--- a/src/decisions/replicas/planReplicaMove/_lib/planningContext.ts
+++ b/src/decisions/replicas/planReplicaMove/_lib/planningContext.ts
@@ -10,6 +10,8 @@
   acceptingReplicas: ReadonlyMap<string, number>;
   /** Utilisation of the least used engine with the model, by model. */
   leastUtilisations: ReadonlyMap<string, number>;
+  /** The same of the prompt work that waits. */
+  leastBacklogs: ReadonlyMap<string, number>;
   /** Mean demand per engine. */
   meanLoad: number;
 }
@@ -27,11 +29,14 @@
   return counts;
 }
 
-function findLeastUtilisations(engines: readonly EngineSnapshot[]): Map<string, number> {
+function findLeast(
+  engines: readonly EngineSnapshot[],
+  readUtilisation: (engine: EngineSnapshot) => number,
+): Map<string, number> {
   const least = new Map<string, number>();
-  for (const { models, utilisation } of engines)
-    for (const model of models)
-      least.set(model, Math.min(least.get(model) ?? Infinity, utilisation));
+  for (const engine of engines)
+    for (const model of engine.models)
+      least.set(model, Math.min(least.get(model) ?? Infinity, readUtilisation(engine)));
   return least;
 }
 
@@ -56,7 +61,8 @@
     models: new Map(models.map((model) => [model.name, model])),
     replicaCounts: countReplicas(engines, () => 1),
     acceptingReplicas: countReplicas(engines, ({ acceptance }) => acceptance),
-    leastUtilisations: findLeastUtilisations(engines),
+    leastUtilisations: findLeast(engines, ({ utilisation }) => utilisation),
+    leastBacklogs: findLeast(engines, ({ backlogUtilisation = 0 }) => backlogUtilisation),
     meanLoad: Math.max(MIN_MEAN_LOAD, total / Math.max(1, engines.length)),
   };
 }
--- a/src/decisions/replicas/planReplicaMove/index.ts
+++ b/src/decisions/replicas/planReplicaMove/index.ts
@@ -79,7 +79,9 @@
   if (demand === 0) return LastReplicas.keep;
   const leastUtilisation = context.leastUtilisations.get(name);
   if (leastUtilisation === undefined) return LastReplicas.unloadIdle;
-  return leastUtilisation >= BUSY_UTILISATION ? LastReplicas.unloadAny : LastReplicas.keep;
+  if (leastUtilisation >= BUSY_UTILISATION) return LastReplicas.unloadAny;
+  const isBehind = (context.leastBacklogs.get(name) ?? 0) >= BUSY_UTILISATION;
+  return isBehind ? LastReplicas.unloadIdle : LastReplicas.keep;
 }
 
 /**
@@ -105,7 +107,9 @@
  * unloaded: a model without requests yet may be the busiest one. Returns undefined when no move is
  * worth its cost. Made for demand that shifts within seconds to models with one replica or none,
  * while other models are rarely requested: the last replica of a model that is hardly requested
- * makes room for one whose engines are all busy, as most of the memory may be taken by such models. Without `mayLoadRare` the
+ * makes room for one whose engines are all busy, as most of the memory may be taken by such models. Engines with long prompts
+ * are late long before their slots are taken: where prompts wait at all engines of a model, the last replica of one that nobody
+ * requests makes room for it. Without `mayLoadRare` the
  * free engines are left to models in demand: an engine carries out one load at a time, so that rare
  * models which are asked for at once would occupy all engines for seconds.
  */
--- a/src/decisions/replicas/planReplicaMove/test.ts
+++ b/src/decisions/replicas/planReplicaMove/test.ts
@@ -279,3 +279,18 @@
   t.match(planReplicaMove(engines, models), { engine: 'b', load: 'hot', unload: ['three'] });
   t.end();
 });
+
+// Guards against models that nobody requests and that hold the places of a model whose prompts wait.
+t.test('an idle model makes room for one whose prompts wait at all of its engines', (t) => {
+  const hot = model('hot', 9000);
+  const idle = ['i1', 'i2', 'i3', 'i4', 'i5'].map((name) => model(name, 0));
+  const engines = (backlogUtilisation: number) => [
+    { ...buildEngine('a', [hot, ...idle.slice(3)]), utilisation: 0.2, backlogUtilisation },
+    buildEngine('b', idle.slice(0, 3)),
+  ];
+  t.equal(planReplicaMove(engines(0.2), [hot, ...idle]), undefined);
+  const move = planReplicaMove(engines(0.8), [hot, ...idle]);
+  t.match(move, { engine: 'b', load: 'hot' });
+  t.equal(move?.unload.length, 1);
+  t.end();
+});
--- a/src/decisions/replicas/types.ts
+++ b/src/decisions/replicas/types.ts
@@ -12,6 +12,8 @@
   capacityMb: number;
   /** Requests in flight per slot, or tokens per memory if that is more; above 1 requests wait. */
   utilisation: number;
+  /** Prompt work that waits, relative to what makes responses begin late; 0 by default. */
+  backlogUtilisation?: number;
   /** Part of the requests for its models that it takes, from 0 to 1: less than 1 with a request limit. */
   acceptance: number;
   /** Whether it can accept an order to load a model now. */
--- a/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
+++ b/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
@@ -38,6 +38,11 @@
 const ORDER_MS = 300; // an order and the report that shows its effect
 const UNLOAD_MS = 900; // announcement to the hosts, order, and the report that shows its effect
 
+function addToAverage(averages: Map<string, number>, id: string, value: number): void {
+  const average = averages.get(id) ?? 0;
+  averages.set(id, average + UTILISATION_WEIGHT * (value - average));
+}
+
 /** Starts replica moves and estimates when they end. */
 export interface ReplicaScheduler {
   /** Starts the moves of a service that are due, within the limits of the weight store. */
@@ -59,6 +64,8 @@
   isUnreachable: (server: string) => boolean;
   /** Measures how much of an engine's slots and memory the requests in flight take. */
   measureUtilisation: (server: BackendServer, pool: EnginePool) => number;
+  /** Measures the prompt work that waits at an engine, relative to what makes responses begin late. */
+  measureBacklog: (server: BackendServer) => number;
   /** Requests per second that an engine takes, by incarnation; Infinity without a limit. */
   getRequestLimit: (incarnation: string) => number;
   /** Fraction of an engine's recent streams that paused for too long. */
@@ -81,6 +88,7 @@
 
   /** Moving averages over a few passes, by engine. */
   const utilisations = new Map<string, number>();
+  const backlogs = new Map<string, number>();
 
   const measureAcceptance = (
     service: string,
@@ -96,9 +104,9 @@
 
   const updateUtilisations = (service: string, pool: EnginePool): void => {
     for (const [id, controller] of listControllers(service)) {
-      const average = utilisations.get(id) ?? 0;
-      const change = measureUtilisation(controller.getServer(), pool) - average;
-      utilisations.set(id, average + UTILISATION_WEIGHT * change);
+      const server = controller.getServer();
+      addToAverage(utilisations, id, measureUtilisation(server, pool));
+      addToAverage(backlogs, id, options.measureBacklog(server));
     }
   };
 
@@ -142,6 +150,7 @@
           capacityMb: pool.weightsMb,
           // An engine that turns requests away is full, however few it has in flight.
           utilisation: Math.max(utilisations.get(id) ?? 0, 1 - limitAcceptance),
+          backlogUtilisation: backlogs.get(id) ?? 0,
           acceptance,
           canLoad: controller.isFree() && nowMs >= (failedMoves.get(id)?.untilMs ?? -Infinity),
         };
--- a/src/serving/startFleetLeader/_lib/test.ts
+++ b/src/serving/startFleetLeader/_lib/test.ts
@@ -89,6 +89,7 @@
     isInUse: () => false,
     isUnreachable: (server) => server === options.unreachable,
     getSlowShare: () => 0,
+    measureBacklog: () => 0,
     getRequestLimit: () => Infinity,
     measureUtilisation: ({ models }) => (models.some(({ name }) => name === 'hot') ? 1.5 : 0),
     listControllers: () => controllers.map((item) => [item.getServer().id, item]),
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -1,3 +1,7 @@
+import {
+  computeBacklogUtilisation,
+  findShortestTargetMs,
+} from '../../decisions/replicas/computeBacklogUtilisation/index.js';
 import { mayPlanMoves } from '../../decisions/replicas/mayPlanMoves/index.js';
 import type { BackendServer, EnginePool, ServingConfiguration } from '../../ports/serving.js';
 import { createFleetTokenBuckets } from '../createFleetTokenBuckets/index.js';
@@ -97,6 +101,13 @@
     return Math.max(active / slots, reserved / Math.max(1, memoryTokens));
   };
 
+  /** Shortest latency targets of the services with engines, in milliseconds. */
+  let shortestTargetsMs: ReadonlyMap<string, number> = new Map();
+  const measureBacklog = ({ id, service }: BackendServer): number => {
+    const [, backlogTokens = 0] = loads[id] ?? [];
+    return computeBacklogUtilisation(backlogTokens, shortestTargetsMs.get(service) ?? Infinity);
+  };
+
   const replicas = createReplicaScheduler({
     clock,
     log,
@@ -106,6 +117,7 @@
     isInUse,
     isUnreachable: faults.isUnreachable,
     measureUtilisation,
+    measureBacklog,
     getRequestLimit: options.serverNotices.getRequestLimit,
     getSlowShare: (server) => paces.find(server)?.slowShare ?? 0,
     listControllers: (service) =>
@@ -131,6 +143,9 @@
   return {
     setConfiguration: (next) => {
       configuration = next;
+      shortestTargetsMs = new Map(
+        [...next.services.keys()].map((name) => [name, findShortestTargetMs(next.routes, name)]),
+      );
       buckets.setOrganisations([...(next.organisationsByKey?.values() ?? [])]);
       updateControllers();
     },
