--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -12,6 +12,7 @@
 import { createEvacuations } from '../../../serving/createEvacuations/index.js';
 import { createListRefresh } from '../../../serving/createListRefresh/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
+import { createServerPaces } from '../../../serving/createServerPaces/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
 import { watchServers } from '../../../serving/watchServers/index.js';
@@ -47,9 +48,11 @@
     // The other hosts go on sending until they know.
     onChange: () => fleetMember.announceEvacuations(),
   });
+  const serverPaces = createServerPaces();
   const serverRegistry = createServerRegistry({
     clock,
     log,
+    paces: serverPaces,
     dataCentre: options.dataCentre,
     isEvacuated: evacuations.isEvacuated,
     getWaitMs: (id) =>
@@ -99,6 +102,7 @@
     orders: options.orders,
     serverRegistry,
     serverNotices,
+    serverPaces,
     rateLimiter,
     retryBudget,
     host,
@@ -146,6 +150,7 @@
     quarantine: fleetMember.quarantine,
     requestLimiter: fleetMember.requestLimiter,
     serverNotices,
+    serverPaces,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
@@ -156,6 +161,7 @@
       ]);
     },
     evacuations,
+    othersWeight: settings.othersWeight,
     maximumResponseBytes: settings.maximumResponseBytes,
     getLastSendAtMs: () => lastSendAtMs,
   };
--- a/src/serving/createFleetMember/_lib/collectReport.ts
+++ b/src/serving/createFleetMember/_lib/collectReport.ts
@@ -1,5 +1,6 @@
 import { encodeColdTimes } from '../../coldTimeMessages.js';
 import { MAX_REPORTED_LEAVES, type FleetReport } from '../../fleetMessages.js';
+import { encodePaceSamples } from '../../paceMessages.js';
 import { encodeRequestLimits } from '../../requestLimitMessages.js';
 import type { FleetMemberOptions } from '../types.js';
 import { encodeLoads, type UsageTracker } from './createUsageTracker.js';
@@ -7,7 +8,13 @@
 /** What the report of a host is collected from. */
 export interface ReportSources extends Pick<
   FleetMemberOptions,
-  'clock' | 'host' | 'incarnation' | 'serverRegistry' | 'serverNotices' | 'rateLimiter'
+  | 'clock'
+  | 'host'
+  | 'incarnation'
+  | 'serverRegistry'
+  | 'serverNotices'
+  | 'serverPaces'
+  | 'rateLimiter'
 > {
   /** Number of the report since the start of the host. */
   number: number;
@@ -39,6 +46,7 @@
     leaving: serverNotices.listUnregistered().slice(0, MAX_REPORTED_LEAVES),
     limits: encodeRequestLimits(serverNotices.takeChangedLimits(), nowMs),
     cold: encodeColdTimes(serverNotices.takeChangedColdTimes(), nowMs),
+    paces: encodePaceSamples(sources.serverPaces.takeSamples()),
     ...sources.crashes,
   };
 }
--- a/src/serving/createOrganisationRateLimiter/test.ts
+++ b/src/serving/createOrganisationRateLimiter/test.ts
@@ -23,6 +23,7 @@
     leaving: [],
     limits: [],
     cold: [],
+    paces: {},
     requests: {},
     crashes: [],
     servedParts: [],
--- a/src/serving/createServerRegistry/index.ts
+++ b/src/serving/createServerRegistry/index.ts
@@ -3,12 +3,14 @@
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { ServerPaces } from '../createServerPaces/index.js';
 import {
   createPrefixCacheEstimate,
   type PrefixCacheEstimate,
 } from './_lib/createPrefixCacheEstimate.js';
 import {
   computeFailureRate,
+  computeOrdinaryDelay,
   createServerHealth,
   isSilent,
   isUnreachable,
@@ -53,8 +55,9 @@
   isEvacuated?: (dataCentre: string) => boolean;
   /** Milliseconds until this host counts a server as warm, by incarnation; 0 by default. */
   getColdMs?: (incarnation: string) => number;
+  paces: Pick<ServerPaces, 'recordFirstByteDelay' | 'getSlowShare' | 'getLatencyRatio'>;
 }): ServerRegistry {
-  const { clock, log, dataCentre, getWaitMs } = options;
+  const { clock, log, dataCentre, getWaitMs, paces } = options;
   const { isEvacuated = () => false, getColdMs = () => 0 } = options;
   const entries = new Map<string, Entry>();
   let remoteLoads: ReadonlyMap<string, ServerLoad> = new Map();
@@ -91,6 +94,9 @@
     );
   };
 
+  const findLatencyRatio = ({ server, health }: Entry): number =>
+    paces.getLatencyRatio(server.id, health.latencyRatio, health.measuredResponses);
+
   const toCandidate = (
     entry: Entry,
     query: ListCandidatesOptions,
@@ -114,7 +120,8 @@
       isInLocalDataCentre: server.dataCentre === dataCentre,
       failureRate: computeFailureRate(entry.health, nowMs),
       serviceTimeMs: entry.health.serviceTimeMs,
-      latencyRatio: entry.health.latencyRatio,
+      latencyRatio: findLatencyRatio(entry),
+      slowShare: paces.getSlowShare(server.id),
       waitMs: getWaitMs(server.incarnation),
       coldMs: getColdMs(server.incarnation),
     };
@@ -231,6 +238,7 @@
       load.backlogTokens += backlogTokens;
       if (isUrgent) load.urgentBacklogTokens += backlogTokens;
       load.reservedTokens += reservedTokens;
+      const latencyRatio = findLatencyRatio(entry);
       let isInBacklog = true;
       const leaveBacklog = (): void => {
         if (!isInBacklog) return;
@@ -246,9 +254,14 @@
           leaveBacklog();
           entry.prefixCache.record(sharedParts, clock.monotonicMs());
           const nowMs = clock.monotonicMs();
+          const elapsedMs = nowMs - startedAtMs;
           // What a cold server takes says nothing of its speed once it is warm.
-          if (isCold) entry.health.lastBytesAtMs = nowMs;
-          else recordFirstByteDelay(entry.health, nowMs - startedAtMs, delayMs, nowMs);
+          if (isCold) {
+            entry.health.lastBytesAtMs = nowMs;
+            return;
+          }
+          recordFirstByteDelay(entry.health, elapsedMs, delayMs, nowMs, latencyRatio);
+          paces.recordFirstByteDelay(id, elapsedMs, computeOrdinaryDelay(delayMs, latencyRatio));
         },
         release: (outcome) => {
           const nowMs = clock.monotonicMs();
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -42,7 +42,10 @@
   state.evacuationsAgeMs = context.evacuations.getAgeMs();
   const spread = computeChoiceSpread(context.serverRegistry.getHostCount());
   return rankAcceptableFirst(
-    rankServers(candidates, routed, context.random, { spread }),
+    rankServers(candidates, routed, context.random, {
+      spread,
+      othersWeight: routed.hasPauseTarget === true ? context.othersWeight : 0,
+    }),
     computeMaximumDelayMs(request, computeRemainingMs(state)),
   );
 }
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -7,7 +7,7 @@
   type CallerResponse,
   type ServingRequest,
 } from '../../ports/serving.js';
-import { AttemptOutcome, runAttempt } from '../runAttempt/index.js';
+import { AttemptOutcome, runAttempt, type AttemptResult } from '../runAttempt/index.js';
 import type { ServingContext } from '../types.js';
 import { admitToServer, ServerAdmission } from './_lib/admitToServer.js';
 import { mayHaveRun, toServerOutcome } from './_lib/attemptResults.js';
@@ -49,6 +49,17 @@
   }
 }
 
+/** Records whether a stream kept to the longest pause that its caller accepts. */
+function recordPace(
+  { context, request }: RequestState,
+  { id }: BackendServer,
+  { longestPauseMs }: AttemptResult,
+): void {
+  const { pauseTargetMs } = request.route;
+  if (pauseTargetMs === undefined || longestPauseMs === undefined) return;
+  context.serverPaces.recordStream(id, longestPauseMs > pauseTargetMs);
+}
+
 /** Lists the model and the adapter that a request uses, as `MODEL` and `MODEL/ADAPTER`. */
 function listUsedNames({ model, adapter }: ServingRequest): string[] {
   if (model === undefined) return [];
@@ -109,6 +120,7 @@
   if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
   if (result.isDisconnected || result.failure === AttemptFailure.unreachable)
     context.serverNotices.recordDisconnection(server.incarnation);
+  recordPace(state, server, result);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
   for (const name of usedNames) context.recordModelUse(server.id, name, -1);
--- a/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
+++ b/src/serving/startFleetLeader/_lib/createReplicaScheduler.ts
@@ -38,6 +38,11 @@
 const ORDER_MS = 300; // an order and the report that shows its effect
 const UNLOAD_MS = 900; // announcement to the hosts, order, and the report that shows its effect
 
+function addToAverage(averages: Map<string, number>, id: string, value: number): void {
+  const average = averages.get(id) ?? 0;
+  averages.set(id, average + UTILISATION_WEIGHT * (value - average));
+}
+
 /** Starts replica moves and estimates when they end. */
 export interface ReplicaScheduler {
   /** Starts the moves of a service that are due, within the limits of the weight store. */
@@ -59,10 +64,14 @@
   isUnreachable: (server: string) => boolean;
   /** Measures how much of an engine's slots and memory the requests in flight take. */
   measureUtilisation: (server: BackendServer, pool: EnginePool) => number;
+  /** Measures the prompt work that waits at an engine, relative to what makes responses begin late. */
+  measureBacklog: (server: BackendServer) => number;
   /** Requests per second that an engine takes in some time, by incarnation; Infinity without a limit. */
   getRequestLimit: (incarnation: string, inMs: number) => number;
   /** Milliseconds until an engine is warm, by incarnation; 0 by default. */
   getColdMs?: (incarnation: string) => number;
+  /** Fraction of an engine's recent streams that paused for too long. */
+  getSlowShare: (server: string) => number;
   /** Lists the engines of a service, each id with its controller. */
   listControllers: (service: string) => [string, EngineController][];
 }
@@ -70,7 +79,7 @@
 /** Creates the scheduler of replica moves. */
 export function createReplicaScheduler(options: ReplicaSchedulerOptions): ReplicaScheduler {
   const { clock, log, fence, demand, isInUse, measureUtilisation, listControllers } = options;
-  const { isUnreachable, getRequestLimit, getColdMs = () => 0 } = options;
+  const { isUnreachable, getRequestLimit, getSlowShare, getColdMs = () => 0 } = options;
   let loadStartsAtMs: number[] = [];
   const readyAtMs = new Map<string, number>();
   let firstDemandAtMs = Infinity;
@@ -81,13 +90,16 @@
 
   /** Moving averages over a few passes, by engine. */
   const utilisations = new Map<string, number>();
+  const backlogs = new Map<string, number>();
 
   const measureAcceptance = (
     service: string,
     { models }: EnginePool,
     controller: EngineController,
+    slowShare = 0,
   ): number =>
     computeAcceptance({
+      slowShare,
       // An engine that is warm again by the end of a load needs no replica elsewhere.
       limit: getRequestLimit(
         controller.getServer().incarnation,
@@ -99,9 +111,9 @@
 
   const updateUtilisations = (service: string, pool: EnginePool): void => {
     for (const [id, controller] of listControllers(service)) {
-      const average = utilisations.get(id) ?? 0;
-      const change = measureUtilisation(controller.getServer(), pool) - average;
-      utilisations.set(id, average + UTILISATION_WEIGHT * change);
+      const server = controller.getServer();
+      addToAverage(utilisations, id, measureUtilisation(server, pool));
+      addToAverage(backlogs, id, options.measureBacklog(server));
     }
   };
 
@@ -130,7 +142,8 @@
     const engines = controllers
       .filter(([id, controller]) => !controller.getServer().isLeaving && !isUnreachable(id))
       .map(([id, controller]) => {
-        const acceptance = measureAcceptance(service, pool, controller);
+        const limitAcceptance = measureAcceptance(service, pool, controller);
+        const acceptance = measureAcceptance(service, pool, controller, getSlowShare(id));
         const loadingModel = controller.getLoadingModel();
         return {
           id,
@@ -144,7 +157,8 @@
           delistedMb: controller.listDelistedMb(),
           capacityMb: pool.weightsMb,
           // An engine that turns requests away is full, however few it has in flight.
-          utilisation: Math.max(utilisations.get(id) ?? 0, 1 - acceptance),
+          utilisation: Math.max(utilisations.get(id) ?? 0, 1 - limitAcceptance),
+          backlogUtilisation: backlogs.get(id) ?? 0,
           acceptance,
           coldMs: getColdMs(controller.getServer().incarnation),
           canLoad: controller.isFree() && nowMs >= (failedMoves.get(id)?.untilMs ?? -Infinity),
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -1,3 +1,7 @@
+import {
+  computeBacklogUtilisation,
+  findShortestTargetMs,
+} from '../../decisions/replicas/computeBacklogUtilisation/index.js';
 import { mayPlanMoves } from '../../decisions/replicas/mayPlanMoves/index.js';
 import type { BackendServer, EnginePool, ServingConfiguration } from '../../ports/serving.js';
 import { createFleetTokenBuckets } from '../createFleetTokenBuckets/index.js';
@@ -13,6 +17,7 @@
   type SentServers,
 } from './_lib/collectServerChanges.js';
 import { createRequestSchedules } from './_lib/createRequestSchedules.js';
+import { createPaceMeter } from './_lib/createPaceMeter.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
 import { syncControllers } from './_lib/syncControllers.js';
@@ -56,6 +61,7 @@
     isCold: options.serverNotices.isCold,
   });
   const limitFeed = createLimitFeed({ clock, getLimits: options.serverNotices.getLimits });
+  const paces = createPaceMeter(clock);
   const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
@@ -105,6 +111,13 @@
     return Math.max(active / slots, reserved / Math.max(1, memoryTokens));
   };
 
+  /** Shortest latency targets of the services with engines, in milliseconds. */
+  let shortestTargetsMs: ReadonlyMap<string, number> = new Map();
+  const measureBacklog = ({ id, service }: BackendServer): number => {
+    const [, backlogTokens = 0] = loads[id] ?? [];
+    return computeBacklogUtilisation(backlogTokens, shortestTargetsMs.get(service) ?? Infinity);
+  };
+
   const replicas = createReplicaScheduler({
     clock,
     log,
@@ -114,7 +127,9 @@
     isInUse,
     isUnreachable: faults.isUnreachable,
     measureUtilisation,
+    measureBacklog,
     getRequestLimit: options.serverNotices.getRequestLimit,
+    getSlowShare: (server) => paces.find(server)?.slowShare ?? 0,
     getColdMs: options.serverNotices.getColdMs,
     // Replicas in an evacuated data centre serve nobody, so that their models are loaded elsewhere.
     listControllers: (service) =>
@@ -143,6 +158,9 @@
   return {
     setConfiguration: (next) => {
       configuration = next;
+      shortestTargetsMs = new Map(
+        [...next.services.keys()].map((name) => [name, findShortestTargetMs(next.routes, name)]),
+      );
       buckets.setOrganisations([...(next.organisationsByKey?.values() ?? [])]);
       updateControllers();
     },
@@ -159,6 +177,7 @@
       demand.record(report.demand);
       demand.recordRequests(report.requests);
       quarantine.recordReport(report);
+      paces.record(report.paces);
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -189,6 +208,7 @@
       state?.sentAdapters.clear();
       if (state !== undefined) state.sentServers = createSentServers();
       limitFeed.resetSent(host);
+      paces.resetSent(host);
       quarantine.resetSent(host);
     },
     prepareViews: (hostCount, isCurrent) => {
@@ -208,6 +228,7 @@
       const ageMs = options.listAge.getAgeMs();
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
+      paces.update(new Set(servers.keys()));
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
       return (host) => {
@@ -230,6 +251,7 @@
           suspects,
           quarantine: quarantine.takeState(host),
           limits: limitFeed.takeLimits(host),
+          paces: paces.takePaces(host),
           evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -6,6 +6,7 @@
 import type { OrganisationRateLimiter } from './createOrganisationRateLimiter/index.js';
 import type { ServiceRetryBudget } from './createServiceRetryBudget/index.js';
 import type { ServerNotices } from './createServerNotices/index.js';
+import type { ServerPaces } from './createServerPaces/index.js';
 import type { ServerRegistry } from './createServerRegistry/index.js';
 import type { ServingMetrics } from './createServingMetrics/index.js';
 
@@ -115,6 +116,7 @@
     'getRequestLimit' | 'getPauseMs' | 'getColdMs' | 'getColdAgeMs' | 'recordDisconnection'
   >;
   evacuations: Pick<Evacuations, 'isEvacuated' | 'getAgeMs'>;
+  serverPaces: Pick<ServerPaces, 'recordStream'>;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
@@ -127,6 +129,8 @@
    * off; Infinity unless this host is stopping.
    */
   getLastSendAtMs: () => number;
+  /** How much the delay of other requests counts in the choice of an engine; 0 for nothing. */
+  othersWeight: number;
   /** Longest body of a response that is no stream; a longer one is cut off. */
   maximumResponseBytes: number;
 }
--- a/tests/silentConnections.test.ts
+++ b/tests/silentConnections.test.ts
@@ -157,6 +157,7 @@
       leaving: [],
       limits: [],
       cold: [],
+      paces: {},
       crashes: [],
       servedParts: [],
     });
