Replace connections between entry hosts that go silent

After an open connection between entry hosts had gone silent, heartbeats went out on it and none arrived, until TCP gave up: no heartbeat arrived in 4 s in tests/silentPeers.test.ts.

Cause: heartbeats are not answered, so that a sender receives nothing on a working connection either, and there was no time-out.

A heartbeat is answered with a hello, which earlier versions ignore. The sender replaces a connection on which an answer is missing for 2.5 s. It does so only where the peer has answered on this connection before, as earlier versions do not answer. Accepted connections use TCP keep-alive, so that those that the sender has replaced end.

--- a/src/adapters/peer/index.ts
+++ b/src/adapters/peer/index.ts
@@ -15,11 +15,14 @@
   WithdrawalNotice,
 } from '../../ports/peers.js';
 import { createConnection, type PeerConnection } from './createConnection.js';
+import { watchAnswers } from './watchReceived.js';
 import { parsePeerMessage } from './messages.js';
 import { connectSecurely, createSecureServer } from './secureSocket.js';
 
 const RECONNECT_DELAY_MS = 250;
 const CONNECT_TIMEOUT_MS = 1000;
+const ANSWER_TIMEOUT_MS = 2500; // five heartbeats; a peer without heartbeats counts as lost then, too
+const KEEP_ALIVE_MS = 10_000;
 
 /** Handlers of the messages that an entry host receives from its peers. */
 export interface PeerHandlers {
@@ -56,6 +59,8 @@
 interface PeerConnectionTask {
   endpoint: string;
   connection?: PeerConnection<PeerMessage>;
+  /** Records that a heartbeat was sent, which the peer answers. */
+  recordHeartbeat?: () => void;
   stop: AbortController;
 }
 
@@ -76,6 +81,8 @@
         return;
       case 'heartbeat':
         handlers.handleHeartbeat(message);
+        // Shows the sender that its connection works.
+        connection.send({ type: 'hello', host, incarnation });
         return;
       case 'loanRequest':
         connection.send(handlers.grantLoan(message));
@@ -98,6 +105,8 @@
 
   const server = createSecureServer(secret, (socket) => {
     const peer = socket.remoteAddress ?? 'unknown';
+    // A peer that has opened another connection sends nothing on this one, not even its end.
+    socket.setKeepAlive(true, KEEP_ALIVE_MS);
     const connection = createConnection(socket, {
       parse: parsePeerMessage,
       onMessage: handleMessage,
@@ -134,6 +143,7 @@
         if (isAborted(signal)) connection.close();
         connection.send({ type: 'hello', host, incarnation });
         task.connection = connection;
+        task.recordHeartbeat = watchAnswers(socket, ANSWER_TIMEOUT_MS, connection.close).recordSent;
         await connection.ended;
         signal.removeEventListener('abort', connection.close);
       } catch {
@@ -168,7 +178,12 @@
     countBytesSent: () => bytesSent,
     listConnected: () =>
       [...tasks].filter(([, { connection }]) => connection !== undefined).map(([id]) => id),
-    send: (peer, message) => tasks.get(peer)?.connection?.send(message) ?? false,
+    send: (peer, message) => {
+      const task = tasks.get(peer);
+      const isSent = task?.connection?.send(message) ?? false;
+      if (isSent && message.type === 'heartbeat') task?.recordHeartbeat?.();
+      return isSent;
+    },
     requestLoan: (peer, message, timeoutMs) => sendRequest<LoanReply>(peer, message, timeoutMs),
     requestControlState: (peer, message, timeoutMs) =>
       sendRequest<ControlStateReply>(peer, message, timeoutMs),
