Bound what clients hold of a host

Operators saw hosts run out of memory and end, and callers got no answer, under clients that send many bodies in small chunks, stop short of the end of a body, pipeline hundreds of requests or go on sending after a rejection.

Cause: readBody kept one buffer for each chunk, nothing bounded the time of a body, the number of connections, of requests of one connection, or the sum of all bodies, and the rest of a rejected body was read to its end. Responses that wait behind others were not told when their connection closed.

--- a/src/adapters/callerHttp/index.ts
+++ b/src/adapters/callerHttp/index.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { Clock } from '../../ports/clock.js';
+import type { ClientGuard, GuardedRequest } from './createClientGuard/types.js';
 import type { CallerLimits, CallerRequest } from './types.js';
 
 export * from './responses.js';
@@ -15,6 +16,8 @@
   port: number;
   limits: CallerLimits;
   clock: Clock;
+  /** Bounds what clients hold of this host. */
+  guard: ClientGuard;
   /** Handles one request and sends its response; must not reject. */
   handle: (request: CallerRequest) => Promise<void>;
 }
@@ -35,6 +38,7 @@
 function createCallerRequest(
   incoming: IncomingMessage,
   response: ServerResponse,
+  guarded: GuardedRequest,
   clock: Clock,
 ): CallerRequest {
   const url = incoming.url ?? '/';
@@ -48,6 +52,7 @@
     query: queryStart === -1 ? '' : url.slice(queryStart),
     incoming,
     response,
+    guarded,
     startedAtMs: clock.monotonicMs(),
   };
 }
@@ -64,7 +69,7 @@
 
 /** Opens an HTTP server that passes each request to the handler. */
 export async function openCallerServer(options: OpenCallerServerOptions): Promise<CallerServer> {
-  const { limits, clock, handle } = options;
+  const { limits, clock, guard, handle } = options;
   let isDraining = false;
   const server = createServer(
     {
@@ -77,12 +82,12 @@
     (incoming, response) => {
       if (isDraining) response.setHeader('Connection', 'close');
       response.on('error', () => undefined);
-      void handle(createCallerRequest(incoming, response, clock)).finally(() => {
-        // Discards an unread body, so that it is not parsed as the next request.
-        if (!incoming.complete) incoming.unpipe().resume();
-      });
+      const guarded = guard.admitRequest(incoming, response);
+      if (guarded !== undefined)
+        void handle(createCallerRequest(incoming, response, guarded, clock));
     },
   );
+  guard.attach(server);
   await startListening(server, options.port, options.address);
   return {
     port: (server.address() as AddressInfo).port,
--- a/src/adapters/callerHttp/readBody.ts
+++ b/src/adapters/callerHttp/readBody.ts
@@ -1,37 +1,41 @@
-import type { IncomingMessage } from 'node:http';
-import { createRequestError, ExecutionOutcome } from '../../errors/index.js';
+import { createRequestError, ExecutionOutcome, type RequestFailure } from '../../errors/index.js';
+import { BodyFailure } from './createClientGuard/types.js';
+import type { CallerRequest } from './types.js';
 
-const EMPTY_BODY = Buffer.alloc(0);
+const { notRun: outcome } = ExecutionOutcome;
 
-/** Reads a request body; rejects with a RequestError when it is too large or ends early. */
-export async function readBody(incoming: IncomingMessage, maximumBytes: number): Promise<Buffer> {
-  const rejectTooLarge = (): never => {
-    throw createRequestError(`the body is over ${maximumBytes} bytes`, {
-      status: 413,
-      code: 'body_too_large',
-      outcome: ExecutionOutcome.notRun,
-    });
-  };
-  if (Number(incoming.headers['content-length'] ?? 0) > maximumBytes) rejectTooLarge();
-  const { headers } = incoming;
-  const hasBody =
-    headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-  if (!hasBody) return EMPTY_BODY;
-  const chunks: Buffer[] = [];
-  let length = 0;
-  try {
-    for await (const chunk of incoming as AsyncIterable<Buffer>) {
-      length += chunk.length;
-      if (length > maximumBytes) break;
-      chunks.push(chunk);
-    }
-  } catch {
-    throw createRequestError('the body broke off', {
-      status: 400,
-      code: 'body_broken_off',
-      outcome: ExecutionOutcome.notRun,
-    });
-  }
-  if (length > maximumBytes) rejectTooLarge();
-  return Buffer.concat(chunks, length);
+const FAILURES: Readonly<Record<BodyFailure, RequestFailure & { message: string }>> = {
+  [BodyFailure.cut]: {
+    message: 'the body broke off',
+    status: 400,
+    code: 'body_broken_off',
+    outcome,
+  },
+  [BodyFailure.tooLarge]: {
+    message: 'the body is too large',
+    status: 413,
+    code: 'body_too_large',
+    outcome,
+  },
+  [BodyFailure.tooSlow]: {
+    message: 'the body arrives too slowly',
+    status: 408,
+    code: 'body_too_slow',
+    outcome,
+  },
+  [BodyFailure.noMemory]: {
+    message: 'too many bodies are being received',
+    status: 503,
+    code: 'overloaded',
+    outcome,
+    retryAfterSeconds: 1,
+  },
+};
+
+/** Reads a request body; rejects with a RequestError when it exceeds a limit or ends early. */
+export async function readBody(request: CallerRequest, maximumBytes: number): Promise<Buffer> {
+  const body = await request.guarded.readBody(maximumBytes);
+  if (Buffer.isBuffer(body)) return body;
+  const { message, ...failure } = FAILURES[body];
+  throw createRequestError(message, failure);
 }
--- a/src/adapters/callerHttp/responses.ts
+++ b/src/adapters/callerHttp/responses.ts
@@ -32,12 +32,14 @@
 
 /** Sends a complete response with its Content-Length; does nothing if one was already started. */
 export function sendResponse(
-  { response, id }: CallerRequest,
+  { response, id, guarded }: CallerRequest,
   status: number,
   headers: Record<string, string>,
   body: Buffer | string,
 ): void {
   if (!isWritable(response) || response.headersSent) return;
+  // An unread body must not be taken for the next request, and a long one is not read.
+  guarded.skipBody();
   response.writeHead(status, {
     ...headers,
     'X-Request-Id': id,
--- a/src/adapters/callerHttp/types.ts
+++ b/src/adapters/callerHttp/types.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { GuardedRequest } from './createClientGuard/types.js';
 
 /** One HTTP request of a caller or an operator. */
 export interface CallerRequest {
@@ -9,6 +10,8 @@
   query: string;
   incoming: IncomingMessage;
   response: ServerResponse;
+  /** Reads the body within the limits on clients. */
+  guarded: GuardedRequest;
   /** Arrival time on the monotonic clock. */
   startedAtMs: number;
 }
--- a/src/programs/entry/_lib/openOperatorServer.ts
+++ b/src/programs/entry/_lib/openOperatorServer.ts
@@ -10,6 +10,7 @@
   type CallerRequest,
   type CallerServer,
 } from '../../../adapters/callerHttp/index.js';
+import type { ClientGuard } from '../../../adapters/callerHttp/createClientGuard/index.js';
 import { verifyWithdrawal } from '../../../decisions/keys/verifyWithdrawal/index.js';
 import { RequestError } from '../../../errors/index.js';
 import type { Clock } from '../../../ports/clock.js';
@@ -20,6 +21,7 @@
 export interface OperatorServerOptions {
   settings: EntrySettings;
   clock: Clock;
+  guard: ClientGuard;
   operatorKeys: JSONWebKeySet;
   collectStatus: () => unknown;
   /** Applies withdrawals whose signatures were verified, and sends new ones to all peers. */
@@ -32,7 +34,7 @@
   options: OperatorServerOptions,
   request: CallerRequest,
 ): Promise<void> {
-  const body = await readBody(request.incoming, options.settings.maximumBodyBytes);
+  const body = await readBody(request, options.settings.maximumBodyBytes);
   const parsed = withdrawalsBody.safeParse(parseJson(body.toString('utf8')));
   if (!parsed.success) throw createRefusal(400, 'body_invalid', 'send {"signed": [JWS, ...]}');
   for (const signed of parsed.data.signed) {
@@ -75,6 +77,7 @@
     port: settings.operatorPort,
     limits: settings,
     clock,
+    guard: options.guard,
     handle: (request) => handleOperatorRequest(options, request),
   });
 }
--- a/src/programs/entry/handlers/handleCompletion.ts
+++ b/src/programs/entry/handlers/handleCompletion.ts
@@ -137,7 +137,7 @@
   const { settings, demand, controlState, clock } = context;
   const caller = checkKey(context, request.incoming);
   record.organisation = caller.organisation.name;
-  const body = await readBody(request.incoming, settings.maximumBodyBytes);
+  const body = await readBody(request, settings.maximumBodyBytes);
   checkKeyNotExposed(caller, request.path + request.query, body);
   const completion = parseCompletion(body.toString('utf8'), {
     promptBytesPerToken: settings.promptBytesPerToken,
--- a/src/programs/entry/handlers/handlePlainRoute.ts
+++ b/src/programs/entry/handlers/handlePlainRoute.ts
@@ -187,7 +187,7 @@
   const caller = route.open ? undefined : checkKey(context, request.incoming);
   record.organisation = caller?.organisation.name;
   record.target = route.service;
-  const body = await readBody(request.incoming, settings.maximumBodyBytes);
+  const body = await readBody(request, settings.maximumBodyBytes);
   if (caller !== undefined) checkKeyNotExposed(caller, request.path + request.query, body);
   const requestClass = chooseClass(route.class, request.incoming.headers['bronzelanding-class']);
   const deadlineAtMs =
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -6,6 +6,7 @@
   type SettingDefinition,
   type SettingValues,
 } from '../../settings/index.js';
+import { clientLimitSettings } from '../clientLimitSettings.js';
 import { commonSettings, MAX_TIME_MS } from '../commonSettings.js';
 
 const MAX_PORT = 65_535;
@@ -182,6 +183,7 @@
     fallback: '256',
     parse: parseInteger(1, 1_000_000),
   },
+  ...clientLimitSettings,
 };
 
 /** Values of the settings of bronzelanding-entry. */
--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -22,6 +22,7 @@
 import { collectStatus } from '../_lib/collectStatus.js';
 import { createActiveRequests } from '../_lib/createActiveRequests.js';
 import { createBackendDirectory } from '../_lib/createBackendDirectory.js';
+import { createEntryGuards } from '../_lib/createEntryGuards.js';
 import { createPeerRegistry } from '../_lib/createPeerRegistry.js';
 import { createRefusalCounter } from '../_lib/createRefusalCounter.js';
 import { pollHostList } from '../_lib/pollHostList.js';
@@ -32,16 +33,9 @@
 import { openOperatorServer } from '../_lib/openOperatorServer.js';
 import { handleRequest } from '../handlers/handleRequest.js';
 import type { EntrySettings } from '../settings.js';
-import type { EntryContext } from '../types.js';
+import type { EntryContext, EntryHost } from '../types.js';
 
-/** A running entry host. */
-export interface EntryHost {
-  callerPort: number;
-  peerPort: number;
-  operatorPort: number;
-  /** Drains and stops: reports not ready, then refuses connections, then waits for active requests to end. */
-  stop: () => Promise<void>;
-}
+export type { EntryHost } from '../types.js';
 
 /** Milliseconds without a response after which the key-value service counts as unreachable. */
 const SERVICE_UNREACHABLE_AFTER_MS = 2000;
@@ -210,16 +204,19 @@
     if (controlState.get().accepted === undefined) return 'no bundle';
     return isInContact() ? undefined : 'out of touch';
   };
+  const guards = createEntryGuards(settings, { clock, log, metrics });
   const callerServer = await openCallerServer({
     address: settings.address,
     port: settings.callerPort,
     limits: settings,
     clock,
+    guard: guards.callers,
     handle: (request) => handleRequest(context, { getUnreadyReason }, request),
   });
   const operatorServer = await openOperatorServer({
     settings,
     clock,
+    guard: guards.operators,
     operatorKeys: settings.operatorKeys,
     collectStatus: () => ({
       ...collectStatus(buildHeartbeat(), peerRegistry.listAlive(), controlState.get()),
--- a/src/programs/entry/types.ts
+++ b/src/programs/entry/types.ts
@@ -60,3 +60,12 @@
   attempts?: number;
   tokens?: number;
 }
+
+/** A running entry host. */
+export interface EntryHost {
+  callerPort: number;
+  peerPort: number;
+  operatorPort: number;
+  /** Drains and stops: reports not ready, then refuses connections, then waits for active requests to end. */
+  stop: () => Promise<void>;
+}
--- a/src/programs/settingsPage/renderPage.ts
+++ b/src/programs/settingsPage/renderPage.ts
@@ -6,6 +6,8 @@
 
 Made by \`npm run settings\` from the settings' own definitions; a test compares the two.
 A flag counts before its environment variable. All findings are reported at once, with exit code 2.
+\`bronzelanding-platform\` has the flags from \`--client-memory-bytes\` to \`--max-fragmented-bodies\` of
+\`bronzelanding-entry\` too; \`bronzelanding-platform --help\` lists all of its flags.
 
 The operators' command takes its flags from \`bronzelanding --help\`; it reads
 \`BRONZELANDING_KEY_VALUE_SERVICE\`, \`BRONZELANDING_OPERATOR_KEYS\` and \`BRONZELANDING_OPERATOR_KEY\`.
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -19,6 +19,8 @@
   setLeading: (isLeading: boolean) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
+  /** Counts a client that exceeded a limit and was rejected or closed. */
+  countRejectedClient: (reason: string) => void;
 }
 
 /** Creates the metrics in a separate Prometheus registry. */
@@ -41,6 +43,7 @@
   const connections = counter('backend_connections_total', 'Connections opened to servers', []);
   const orders = counter('orders_total', 'Orders to engines', ['action', 'outcome']);
   const omitted = counter('log_lines_omitted_total', 'Log lines above the limit', []);
+  const rejected = counter('clients_rejected_total', 'Clients above a limit', ['reason']);
   const firstBytes = histogram('first_bytes_seconds', 'Arrival to first bytes of the answer');
   const durations = histogram('request_seconds', 'Arrival to the end of the answer');
   const leading = new Gauge({
@@ -60,5 +63,6 @@
     countOrder: (action, outcome) => orders.inc({ action, outcome }),
     setLeading: (isLeading) => leading.set(isLeading ? 1 : 0),
     countOmittedLogLine: () => omitted.inc(),
+    countRejectedClient: (reason) => rejected.inc({ reason }),
   };
 }
--- a/tests/clientLimits.test.ts
+++ b/tests/clientLimits.test.ts
@@ -1,6 +1,6 @@
 import { readdir, readFile } from 'node:fs/promises';
 import { setTimeout as wait } from 'node:timers/promises';
-import t from 'tap';
+import t, { type Test } from 'tap';
 import { Agent, request as sendRequest } from 'undici';
 import { pickFreePort } from './support/pickFreePort.js';
 import { startPlatformEngine } from './support/platformEngine.js';
@@ -22,10 +22,12 @@
 t.jobs = 1;
 
 /** Starts a store, a server and a host as a process with the flags of the smallest hosts. */
-async function startHostProcess() {
+async function startHostProcess(t: Test) {
   const store = await startPlatformStore();
+  t.teardown(store.close);
   store.put('op/config', buildConfiguration(1));
   const server = await startPlatformEngine({ id: 'certs-1', service: 'certs', models: {} });
+  t.teardown(server.close);
   store.put('servers/certs-1', server.buildRegistration());
   const callerPort = await pickFreePort();
   const readyPort = await pickFreePort();
@@ -44,6 +46,10 @@
     ],
     { NODE_OPTIONS: NODE_FLAGS },
   );
+  t.teardown(async () => {
+    host.kill('SIGKILL');
+    await host.exited;
+  });
   const isReady = async (): Promise<boolean> => {
     const response = await sendRequest(`http://127.0.0.1:${readyPort}/api/ready`).catch(
       () => undefined,
@@ -52,16 +58,7 @@
     return response?.statusCode === 200;
   };
   await waitUntil('the host is ready', isReady);
-  return {
-    host,
-    callerPort,
-    close: async () => {
-      host.kill('SIGKILL');
-      await host.exited;
-      await server.close();
-      await store.close();
-    },
-  };
+  return { host, callerPort };
 }
 
 /** Samples the open descriptors of a process; its peak of resident memory is kept by the system. */
@@ -127,8 +124,7 @@
 };
 for (const [shape, { areAllClosed = false, status }] of Object.entries(cases))
   t.test(`keeps its bounds with ${shape}`, async (t) => {
-    const { host, callerPort, close } = await startHostProcess();
-    t.teardown(close);
+    const { host, callerPort } = await startHostProcess(t);
     const readPeak = startSampling(host.pid);
     const script = '../dist-tools/tests/support/loadClients.js';
     const clients = startProcess(shape, script, [shape, String(callerPort)]);
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -198,6 +198,13 @@
     firstStart: 'true',
     maximumResponseBytes: MAX_RESPONSE_BYTES,
     logLinesPerSecond: 1,
+    clientMemoryBytes: 0,
+    maximumConnections: 0,
+    maximumWaitingRequests: 16,
+    bodyBytesPerSecond: 256,
+    bodySpanMs: 5000,
+    maximumDiscardedBytes: 262_144,
+    maximumFragmentedBodies: 4,
   });
 }
 
