--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -23,6 +23,8 @@
   setColdServerCounter: (count: () => number) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
+  /** Counts a client that exceeded a limit and was rejected or closed. */
+  countRejectedClient: (reason: string) => void;
 }
 
 /** Creates the metrics in a separate Prometheus registry. */
@@ -45,6 +47,7 @@
   const connections = counter('backend_connections_total', 'Connections opened to servers', []);
   const orders = counter('orders_total', 'Orders to engines', ['action', 'outcome']);
   const omitted = counter('log_lines_omitted_total', 'Log lines above the limit', []);
+  const rejected = counter('clients_rejected_total', 'Clients above a limit', ['reason']);
   const firstBytes = histogram('first_bytes_seconds', 'Arrival to first bytes of the answer');
   const durations = histogram('request_seconds', 'Arrival to the end of the answer');
   const leading = new Gauge({
@@ -102,5 +105,6 @@
       countCold = count;
     },
     countOmittedLogLine: () => omitted.inc(),
+    countRejectedClient: (reason) => rejected.inc({ reason }),
   };
 }
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -202,6 +202,13 @@
     maximumResponseBytes: MAX_RESPONSE_BYTES,
     othersWeight: 1,
     logLinesPerSecond: 1,
+    clientMemoryBytes: 0,
+    maximumConnections: 0,
+    maximumWaitingRequests: 16,
+    bodyBytesPerSecond: 256,
+    bodySpanMs: 5000,
+    maximumDiscardedBytes: 262_144,
+    maximumFragmentedBodies: 4,
   });
 }
 
