Count the servers with slow streams in the metrics

Operators could not see which part the pace of servers plays. The gauge counts the servers of which more than half of the streams pause for too long, as the leader computed it from all hosts. Measured: nothing; it is rendered from what views carry.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -232,6 +232,7 @@
   };
   serverNotices.onChange(applyServers);
   metrics.setColdServerCounter(serverNotices.countCold);
+  metrics.setSlowServerCounter(serverPaces.countSlow);
   const serverWatch = watchServers({
     store,
     prefix: options.servers.prefix,
--- a/src/serving/createServerPaces/index.ts
+++ b/src/serving/createServerPaces/index.ts
@@ -13,10 +13,13 @@
   /** Sets the paces as the leader computed them from the samples of all hosts. */
   setFleetPaces: (paces: ReadonlyMap<string, ServerPace>) => void;
   getSlowShare: (server: string) => number;
+  /** Counts the servers of which most streams pause for too long. */
+  countSlow: () => number;
   /** Ratio of the measured to the estimated time to first byte, given what this host measured itself. */
   getLatencyRatio: (server: string, ownRatio: number, ownResponses: number) => number;
 }
 
+const SLOW_SHARE = 0.5; // more than half of the streams are late
 const MAX_SERVERS = 10_000; // far more than the servers of a fleet
 
 /** Creates the paces of a host that has measured nothing yet. */
@@ -43,6 +46,8 @@
       fleetPaces = paces;
     },
     getSlowShare: (server) => fleetPaces.get(server)?.slowShare ?? 0,
+    countSlow: () =>
+      [...fleetPaces.values()].filter(({ slowShare }) => slowShare > SLOW_SHARE).length,
     getLatencyRatio: (server, ownRatio, ownResponses) =>
       computeLatencyRatio({
         ownRatio,
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -21,6 +21,8 @@
   observeEvacuations: (readRunning: () => ReadonlyMap<string, number>) => void;
   /** Sets the function that counts the cold servers, called with each rendering. */
   setColdServerCounter: (count: () => number) => void;
+  /** Sets the function that counts the servers with slow streams, called with each rendering. */
+  setSlowServerCounter: (count: () => number) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
   /** Counts a client that exceeded a limit and was rejected or closed. */
@@ -71,6 +73,15 @@
           this.set({ data_centre: dataCentre }, value);
       },
     });
+  let countSlow = (): number => 0;
+  new Gauge({
+    name: 'bronzelanding_slow_servers',
+    help: 'Servers of which most streams pause for longer than their routes accept',
+    registers,
+    collect() {
+      this.set(countSlow());
+    },
+  });
   let countCold = (): number => 0;
   new Gauge({
     name: 'bronzelanding_cold_servers',
@@ -101,6 +112,9 @@
         readRunning,
       );
     },
+    setSlowServerCounter: (count) => {
+      countSlow = count;
+    },
     setColdServerCounter: (count) => {
       countCold = count;
     },
