--- a/tests/silentConnections.test.ts
+++ b/tests/silentConnections.test.ts
@@ -134,6 +134,7 @@
     fence: 4,
     levels: new Map(),
     serverNotices: { getPauseMs: () => 0, getRequestLimit: () => Infinity, getLimits: () => [] },
+    evacuations: { isEvacuated: () => false, encode: () => undefined },
     savedPartGroups: [],
     lastRegisteredAtMs: new Map(),
     listAge: { getAgeMs: () => 0 },
