Let the pace of servers count only where a setting asks for it

Change: the setting pace-weight, 0 by default, scales what the paces count for in choices and plans. They are measured and counted in the metrics as before.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -48,7 +48,8 @@
     // The other hosts go on sending until they know.
     onChange: () => fleetMember.announceEvacuations(),
   });
-  const serverPaces = createServerPaces();
+  const { paceWeight } = settings;
+  const serverPaces = createServerPaces({ weight: paceWeight });
   const serverRegistry = createServerRegistry({
     clock,
     log,
@@ -103,6 +104,7 @@
     serverRegistry,
     serverNotices,
     serverPaces,
+    paceWeight,
     rateLimiter,
     retryBudget,
     host,
--- a/src/programs/fleetEntry/startFleetEntry/types.ts
+++ b/src/programs/fleetEntry/startFleetEntry/types.ts
@@ -63,6 +63,8 @@
   registrationIntervalMs: number;
   /** Longest body of a response that is no stream. */
   maximumResponseBytes: number;
+  /** How much the pace of servers counts in choices and plans; 0 for nothing. */
+  paceWeight: number;
   /** How much the delay of other requests counts in the choice of an engine; 0 for nothing. */
   othersWeight: number;
   /** Whether the whole fleet starts for the first time, before callers come. */
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -65,6 +65,8 @@
   serverRegistry: ServerRegistry;
   serverNotices: ServerNotices;
   serverPaces: ServerPaces;
+  /** How much the pace of servers counts in plans; 0 for nothing. */
+  paceWeight: number;
   rateLimiter: OrganisationRateLimiter;
   retryBudget: ServiceRetryBudget;
   host: string;
--- a/src/serving/createServerPaces/index.ts
+++ b/src/serving/createServerPaces/index.ts
@@ -22,8 +22,14 @@
 const SLOW_SHARE = 0.5; // more than half of the streams are late
 const MAX_SERVERS = 10_000; // far more than the servers of a fleet
 
+/** Options of the paces. */
+export interface ServerPacesOptions {
+  /** How much the pace of servers counts in choices; 0, for nothing, by default. */
+  weight?: number;
+}
+
 /** Creates the paces of a host that has measured nothing yet. */
-export function createServerPaces(): ServerPaces {
+export function createServerPaces({ weight = 0 }: ServerPacesOptions = {}): ServerPaces {
   let samples = new Map<string, PaceSample>();
   let fleetPaces: ReadonlyMap<string, ServerPace> = new Map();
   const add = (server: string, sample: Partial<PaceSample>): void => {
@@ -45,14 +51,14 @@
     setFleetPaces: (paces) => {
       fleetPaces = paces;
     },
-    getSlowShare: (server) => fleetPaces.get(server)?.slowShare ?? 0,
+    getSlowShare: (server) => weight * (fleetPaces.get(server)?.slowShare ?? 0),
     countSlow: () =>
       [...fleetPaces.values()].filter(({ slowShare }) => slowShare > SLOW_SHARE).length,
     getLatencyRatio: (server, ownRatio, ownResponses) =>
       computeLatencyRatio({
         ownRatio,
         ownResponses,
-        fleetRatio: fleetPaces.get(server)?.latencyRatio,
+        fleetRatio: weight > 0 ? fleetPaces.get(server)?.latencyRatio : undefined,
       }),
   };
 }
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -129,7 +129,7 @@
     measureUtilisation,
     measureBacklog,
     getRequestLimit: options.serverNotices.getRequestLimit,
-    getSlowShare: (server) => paces.find(server)?.slowShare ?? 0,
+    getSlowShare: (server) => options.paceWeight * (paces.find(server)?.slowShare ?? 0),
     getColdMs: options.serverNotices.getColdMs,
     // Replicas in an evacuated data centre serve nobody, so that their models are loaded elsewhere.
     listControllers: (service) =>
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -35,6 +35,8 @@
   >;
   /** The evacuated data centres as this host knows them. */
   evacuations: Pick<Evacuations, 'isEvacuated' | 'encode'>;
+  /** How much the pace of servers counts in plans; 0 for nothing. */
+  paceWeight: number;
   /** Age of this host's list of servers. */
   listAge: Pick<ListAge, 'getAgeMs'>;
   /** Levels of the organisations' token buckets as this host last knew them. */
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -200,6 +200,7 @@
     registrationIntervalMs: 500,
     firstStart: 'true',
     maximumResponseBytes: MAX_RESPONSE_BYTES,
+    paceWeight: 1,
     othersWeight: 1,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
