Let a resumed host wait for a read after a call that timed out

Cause: its watch of the store was under way during the pause and timed out as the process resumed. One failed call counted as an outage of the store, in which nobody waits for a list that is too old, so that the first requests were sent before the retry 50 ms later. A slow store was ruled out: with responses delayed by 500 ms the old code sent nothing.

News that is as old as before the pause no longer ends the wait; a read of the evacuations is awaited for up to 1 s.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -28,6 +28,8 @@
 const LEADER_TTL_MS = 2000;
 /** The leader keeps trying to connect to a failed host until its registration has expired. */
 const REGISTRATION_TTL_MS = 20_000;
+/** A busy host reads the evacuations later than its servers would be missed, but it must read them. */
+const MAX_EVACUATIONS_WAIT_MS = 1000;
 /** Pause after a change of the configuration, so that frequent changes are batched. */
 const CONFIGURATION_BATCH_DELAY_MS = 100;
 
@@ -47,6 +49,7 @@
     prefix: options.evacuationPrefix,
     // The other hosts go on sending until they know.
     onChange: () => fleetMember.announceEvacuations(),
+    onComplete: () => evacuationsRefresh.recordRead(),
   });
   const { paceWeight } = settings;
   const serverPaces = createServerPaces({ weight: paceWeight });
@@ -122,6 +125,7 @@
   serverNotices.setContact({ getListAgeMs: listAge.getAgeMs, isLed: fleetMember.isLed });
   const serversPause = createPause();
   const listRefresh = createListRefresh({
+    clock,
     listAge,
     outage,
     maximumAgeMs: settings.maximumStalenessMs,
@@ -131,9 +135,11 @@
     },
   });
   const evacuationsRefresh = createListRefresh({
+    clock,
     listAge: evacuations,
     outage,
     maximumAgeMs: settings.maximumStalenessMs,
+    maximumWaitMs: MAX_EVACUATIONS_WAIT_MS,
     requestRead: fleetMember.feeds.resumeWaiters,
   });
   metrics.observeEvacuations(
@@ -221,7 +227,6 @@
     onStoreResponse: () => fleetMember.recordStoreResponse(StoreWatch.configuration),
     onComplete: (asOf) => {
       evacuations.recordComplete(asOf);
-      evacuationsRefresh.recordRead();
     },
     feed: fleetMember.feeds.changes,
     outage,
--- a/src/serving/createEvacuations/index.ts
+++ b/src/serving/createEvacuations/index.ts
@@ -50,14 +50,16 @@
    * servers of a revoked one may be cold.
    */
   onChange?: (change: { evacuated: string[]; revoked: string[] }) => void;
+  /** Called whenever the set is known to be complete up to some moment; by default with no effect. */
+  onComplete?: () => void;
 }
 
 const NONE: ReadonlyMap<string, Evacuation> = new Map();
 
 /** Creates the set of a host that has read none yet. */
 export function createEvacuations(options: EvacuationsOptions): Evacuations {
-  const { clock, log, prefix, onChange = () => undefined } = options;
-  const age = createListAge(clock);
+  const { clock, log, prefix, onChange = () => undefined, onComplete } = options;
+  const age = createListAge(clock, { onComplete });
   let state: EvacuationState | undefined;
 
   const setState = (next: EvacuationState | undefined, source: string): void => {
--- a/src/serving/createStoreOutage/index.ts
+++ b/src/serving/createStoreOutage/index.ts
@@ -21,8 +21,11 @@
   waitForEnd: (pause: Pause, milliseconds: number, signal: AbortSignal) => Promise<void>;
   /** Records that the store answered a call. */
   recordResponse: () => void;
-  /** Whether a call has failed that was sent after the last answer. */
-  isFailing: () => boolean;
+  /**
+   * Milliseconds since the first failure of a call that was sent after the last answer; 0 while there
+   * is none.
+   */
+  getFailingMs: () => number;
   /** Monotonic time of the first answer after the last failed calls; -Infinity when none has failed. */
   getReturnedAtMs: () => number;
 }
@@ -46,13 +49,13 @@
   const { clock = { monotonicMs: () => performance.now() }, maximumWaitMs = 10_000 } = options;
   const waiting = new Set<Pause>();
   let triedBy: string | undefined;
-  let isFailing = false;
+  let failingSinceMs: number | undefined;
   let answeredAtMs = -Infinity;
   let returnedAtMs = -Infinity;
   return {
     recordFailure: ({ task, askedAtMs, mayWaitForOthers }) => {
       // A call that was sent into an outage may fail after the end of it.
-      isFailing ||= askedAtMs >= answeredAtMs;
+      if (askedAtMs >= answeredAtMs) failingSinceMs ??= clock.monotonicMs();
       if (!mayWaitForOthers) triedBy = task;
       triedBy ??= task;
       return triedBy === task;
@@ -67,11 +70,12 @@
     recordResponse: () => {
       triedBy = undefined;
       answeredAtMs = clock.monotonicMs();
-      if (isFailing) returnedAtMs = answeredAtMs;
-      isFailing = false;
+      if (failingSinceMs !== undefined) returnedAtMs = answeredAtMs;
+      failingSinceMs = undefined;
       for (const pause of [...waiting]) pause.end();
     },
-    isFailing: () => isFailing,
+    getFailingMs: () =>
+      failingSinceMs === undefined ? 0 : Math.max(0, clock.monotonicMs() - failingSinceMs),
     getReturnedAtMs: () => returnedAtMs,
   };
 }
--- a/src/serving/createStoreOutage/test.ts
+++ b/src/serving/createStoreOutage/test.ts
@@ -58,12 +58,13 @@
   outage.recordResponse();
   t.equal(outage.getReturnedAtMs(), -Infinity);
   outage.recordFailure(failCall('servers/', false));
-  t.ok(outage.isFailing());
   nowMs = 900;
+  outage.recordFailure(failCall('servers/', false));
+  t.equal(outage.getFailingMs(), 800);
   outage.recordResponse();
   nowMs = 1200;
   outage.recordResponse();
-  t.notOk(outage.isFailing());
+  t.equal(outage.getFailingMs(), 0);
   t.equal(outage.getReturnedAtMs(), 900);
   t.end();
 });
@@ -76,7 +77,8 @@
   outage.recordResponse();
   nowMs = 1500;
   outage.recordFailure(failCall('op/', true, 800));
-  t.notOk(outage.isFailing());
+  nowMs = 1600;
+  t.equal(outage.getFailingMs(), 0);
   outage.recordResponse();
   t.equal(outage.getReturnedAtMs(), 900);
   t.end();
