Let the decisions for heavy load take effect only by settings

The weight of others' delay was 1 by default, and the planner made room for models whose prompts wait in every deployment whose routes declare a longest pause, which all earlier ones do.

The three weights are settings of their own (loadSettings), 0 by default, and are passed as one object (LoadOptions), so that further ones need no change in between.

--- a/src/adapters/callerHttp/createClientGuard/index.ts
+++ b/src/adapters/callerHttp/createClientGuard/index.ts
@@ -35,7 +35,8 @@
 }
 
 const CHECK_INTERVAL_MS = 500; // a half of the shortest time that a decision depends on
-const REQUEST_BYTES = 12_288; // a waiting request without its body: 901 MB were measured for 80,000
+/** A waiting request without its body: the objects of Node.js and of this process, on the heap. */
+const REQUEST_BYTES = 12_288;
 
 /** Creates the guard of a server: one memory budget, and limits on connections and waiting requests. */
 export function createClientGuard(options: ClientGuardOptions): ClientGuard {
--- a/src/decisions/replicas/computeBacklogUtilisation/index.ts
+++ b/src/decisions/replicas/computeBacklogUtilisation/index.ts
@@ -1,6 +1,5 @@
 import type { ServingRoute } from '../../../ports/serving.js';
-
-const PROMPT_TOKENS_PER_MS = 38.7; // prefill speed that the operators state for their engines
+import { PROMPT_TOKENS_PER_MS } from '../../serving/constants.js';
 
 /**
  * Finds the shortest time within which callers of a service expect the first event of a stream, in
--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -1,10 +1,10 @@
 import { computeSlowStreamCost } from '../../pace/computeSlowStreamCost/index.js';
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
+import { PROMPT_TOKENS_PER_MS } from '../constants.js';
 import { computeColdDelayMs } from '../computeColdDelayMs/index.js';
 import { computeWorkWeight } from '../computeWorkWeight/index.js';
 import type { RankedServer, RoutedRequest, ServerCandidate } from '../types.js';
 
-const PROMPT_TOKENS_PER_MS = 38.7; // prefill speed that the operators state for their engines
 const FULL_BATCH_DELAY_MS = 150; // a full batch delays the first token by some 25 steps of 5.5 ms
 const MEMORY_OVERCOMMIT_MS = 3000; // a preempted request is processed again from its start
 const USABLE_MEMORY_FRACTION = 0.9; // leaves room for running requests that grow
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -51,8 +51,8 @@
     onChange: () => fleetMember.announceEvacuations(),
     onComplete: () => evacuationsRefresh.recordRead(),
   });
-  const { paceWeight } = settings;
-  const serverPaces = createServerPaces({ weight: paceWeight });
+  const { load } = settings;
+  const serverPaces = createServerPaces({ weight: load.paceWeight });
   const serverRegistry = createServerRegistry({
     clock,
     log,
@@ -107,7 +107,7 @@
     serverRegistry,
     serverNotices,
     serverPaces,
-    paceWeight,
+    load,
     rateLimiter,
     retryBudget,
     host,
@@ -169,7 +169,7 @@
       ]);
     },
     evacuations,
-    othersWeight: settings.othersWeight,
+    load,
     maximumResponseBytes: settings.maximumResponseBytes,
     getLastSendAtMs: () => lastSendAtMs,
   };
--- a/src/programs/fleetEntry/startFleetEntry/types.ts
+++ b/src/programs/fleetEntry/startFleetEntry/types.ts
@@ -1,4 +1,5 @@
 import type { ServerNotices } from '../../../serving/createServerNotices/index.js';
+import type { LoadOptions } from '../../../serving/loadOptions.js';
 import type { ServingMetrics } from '../../../serving/createServingMetrics/index.js';
 import type { Clock } from '../../../ports/clock.js';
 import type { StoreClient } from '../../../ports/fleetStore.js';
@@ -63,10 +64,7 @@
   registrationIntervalMs: number;
   /** Longest body of a response that is no stream. */
   maximumResponseBytes: number;
-  /** How much the pace of servers counts in choices and plans; 0 for nothing. */
-  paceWeight: number;
-  /** How much the delay of other requests counts in the choice of an engine; 0 for nothing. */
-  othersWeight: number;
+  load: LoadOptions;
   /** Whether the whole fleet starts for the first time, before callers come. */
   isFirstStart: boolean;
 }
--- /dev/null
+++ b/src/programs/loadSettings.ts
@@ -0,0 +1,34 @@
+import { parseNumber } from '../settings/index.js';
+
+const parseWeight = parseNumber(0, 10);
+
+/** Settings of the decisions for heavy load. Each has no effect by default. */
+export const loadSettings = {
+  paceWeight: {
+    flag: 'pace-weight',
+    variable: 'BRONZELANDING_PACE_WEIGHT',
+    description:
+      'How much it counts in choices and plans that the streams of an engine pause for longer than their routes accept; 0 for nothing.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseNumber(0, 1),
+  },
+  othersWeight: {
+    flag: 'others-weight',
+    variable: 'BRONZELANDING_OTHERS_WEIGHT',
+    description:
+      'How much the delay of other requests counts against its own when a stream whose route declares a longest pause chooses an engine; 0 for nothing.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseWeight,
+  },
+  backlogWeight: {
+    flag: 'backlog-weight',
+    variable: 'BRONZELANDING_BACKLOG_WEIGHT',
+    description:
+      'How much prompts that wait at an engine count in the plan of replicas, where routes declare a longest pause; 0 for nothing.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseWeight,
+  },
+} as const;
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -10,6 +10,7 @@
 import type { ServerRegistry } from '../createServerRegistry/index.js';
 import type { Evacuations } from '../createEvacuations/index.js';
 import type { ListAge } from '../createListAge/index.js';
+import type { LoadOptions } from '../loadOptions.js';
 import type { LeaderChanges } from '../watchServers/index.js';
 import type { FleetHost, Membership } from '../maintainMembership/index.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
@@ -65,8 +66,7 @@
   serverRegistry: ServerRegistry;
   serverNotices: ServerNotices;
   serverPaces: ServerPaces;
-  /** How much the pace of servers counts in plans; 0 for nothing. */
-  paceWeight: number;
+  load: LoadOptions;
   rateLimiter: OrganisationRateLimiter;
   retryBudget: ServiceRetryBudget;
   host: string;
--- /dev/null
+++ b/src/serving/loadOptions.ts
@@ -0,0 +1,9 @@
+/** How far the decisions for heavy load take effect in a deployment; 0 for not at all. */
+export interface LoadOptions {
+  /** How much the pace of servers counts in choices and plans. */
+  paceWeight: number;
+  /** How much the delay of other requests counts in the choice of an engine. */
+  othersWeight: number;
+  /** How much prompts that wait at an engine count in the plan of replicas. */
+  backlogWeight: number;
+}
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -44,7 +44,7 @@
   return rankAcceptableFirst(
     rankServers(candidates, routed, context.random, {
       spread,
-      othersWeight: routed.hasPauseTarget === true ? context.othersWeight : 0,
+      othersWeight: routed.hasPauseTarget === true ? context.load.othersWeight : 0,
     }),
     computeMaximumDelayMs(request, computeRemainingMs(state)),
   );
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -115,7 +115,8 @@
   let shortestTargetsMs: ReadonlyMap<string, number> = new Map();
   const measureBacklog = ({ id, service }: BackendServer): number => {
     const [, backlogTokens = 0] = loads[id] ?? [];
-    return computeBacklogUtilisation(backlogTokens, shortestTargetsMs.get(service) ?? Infinity);
+    const targetMs = shortestTargetsMs.get(service) ?? Infinity;
+    return options.load.backlogWeight * computeBacklogUtilisation(backlogTokens, targetMs);
   };
 
   const replicas = createReplicaScheduler({
@@ -129,7 +130,7 @@
     measureUtilisation,
     measureBacklog,
     getRequestLimit: options.serverNotices.getRequestLimit,
-    getSlowShare: (server) => options.paceWeight * (paces.find(server)?.slowShare ?? 0),
+    getSlowShare: (server) => options.load.paceWeight * (paces.find(server)?.slowShare ?? 0),
     getColdMs: options.serverNotices.getColdMs,
     // Replicas in an evacuated data centre serve nobody, so that their models are loaded elsewhere.
     listControllers: (service) =>
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -8,6 +8,7 @@
 import type { ServerNotices } from './createServerNotices/index.js';
 import type { ServerPaces } from './createServerPaces/index.js';
 import type { ServerRegistry } from './createServerRegistry/index.js';
+import type { LoadOptions } from './loadOptions.js';
 import type { ServingMetrics } from './createServingMetrics/index.js';
 
 /** A request to load an adapter on one of some engines, which are in order of preference. */
@@ -129,8 +130,7 @@
    * off; Infinity unless this host is stopping.
    */
   getLastSendAtMs: () => number;
-  /** How much the delay of other requests counts in the choice of an engine; 0 for nothing. */
-  othersWeight: number;
+  load: LoadOptions;
   /** Longest body of a response that is no stream; a longer one is cut off. */
   maximumResponseBytes: number;
 }
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -202,6 +202,7 @@
     maximumResponseBytes: MAX_RESPONSE_BYTES,
     paceWeight: 1,
     othersWeight: 1,
+    backlogWeight: 1,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
