Count servers as cold after their evacuation is revoked

Servers of a data centre whose evacuation is revoked may all be cold at once. Hosts used them without a limit until a registration said so, which takes up to a renewal and a round; in that time all hosts turn to the idle servers.

`onChange` of the evacuations now names the revoked data centres to the notices of servers. Their servers of services with `cold_per_s` keep to the limit of cold ones until the list of this host is complete as of 2 s after the revocation, by then each has renewed its registration. A host that starts within these 2 s does not know of the revocation.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -48,7 +48,10 @@
     log,
     prefix: options.evacuationPrefix,
     // The other hosts go on sending until they know.
-    onChange: () => fleetMember.announceEvacuations(),
+    onChange: ({ revoked }) => {
+      serverNotices.recordRevocations(revoked);
+      fleetMember.announceEvacuations();
+    },
     onComplete: () => evacuationsRefresh.recordRead(),
   });
   const { load } = settings;
--- a/src/serving/createServerNotices/_lib/createColdStates.ts
+++ b/src/serving/createServerNotices/_lib/createColdStates.ts
@@ -22,6 +22,8 @@
   setContact: (contact: HostContact) => void;
   /** Records that the server broke or refused a connection, as one that starts again does. */
   recordDisconnection: (incarnation: string) => void;
+  /** Records that evacuations of data centres were revoked, whose servers may all be cold. */
+  recordRevocations: (dataCentres: readonly string[]) => void;
   /** Records a registration; the same object is recorded once. */
   recordRegistration: (server: BackendServer) => void;
   /** Records what a response told, here or at another host; returns whether the end has changed. */
@@ -44,11 +46,12 @@
 }
 
 interface ColdState {
-  server?: Pick<BackendServer, 'id' | 'service'>;
+  server?: Pick<BackendServer, 'id' | 'service' | 'dataCentre'>;
   registered?: RegisteredColdTime;
   told?: ToldColdTime;
   shiftMs: number;
   disconnectedAtMs?: number;
+  revokedAtMs?: number;
 }
 
 const MAX_STATES = 10_000; // far more than the servers of a fleet
@@ -60,6 +63,8 @@
 const MAX_LIST_AGE_MS = 3000;
 /** From a start until the registration that tells of it is in the store. */
 const REGISTRATION_MS = 1000;
+/** From the revocation of an evacuation until each server has renewed its registration since. */
+const RENEWAL_MS = 2000;
 
 const readWarmAtMs = ({ registered, told }: ColdState): number =>
   Math.max(registered?.warmAtMs ?? -Infinity, told?.warmAtMs ?? -Infinity);
@@ -94,6 +99,8 @@
     if (readLimit(state) === 0) return false;
     const listAgeMs = contact.getListAgeMs();
     if (listAgeMs > MAX_LIST_AGE_MS && !contact.isLed()) return true;
+    const completeAsOfMs = clock.monotonicMs() - listAgeMs;
+    if (completeAsOfMs < (state?.revokedAtMs ?? -Infinity) + RENEWAL_MS) return true;
     if (state?.disconnectedAtMs === undefined) return false;
     // Another process may have started in its place.
     const sinceMs = clock.monotonicMs() - state.disconnectedAtMs;
@@ -138,6 +145,11 @@
       const state = states.get(incarnation);
       if (state !== undefined) state.disconnectedAtMs = clock.monotonicMs();
     },
+    recordRevocations: (dataCentres) => {
+      for (const state of states.values())
+        if (state.server !== undefined && dataCentres.includes(state.server.dataCentre))
+          state.revokedAtMs = clock.monotonicMs();
+    },
     recordRegistration: (server) => {
       if (seen.has(server)) return;
       seen.add(server);
--- a/src/serving/createServerNotices/index.ts
+++ b/src/serving/createServerNotices/index.ts
@@ -94,6 +94,7 @@
     setConfiguration: cold.setConfiguration,
     setContact: cold.setContact,
     recordDisconnection: cold.recordDisconnection,
+    recordRevocations: cold.recordRevocations,
     getRequestLimit: (incarnation, inMs) =>
       Math.min(limits.get(incarnation), cold.getLimit(incarnation, inMs)),
     recordLimits: limits.merge,
--- a/src/serving/createServerNotices/test.ts
+++ b/src/serving/createServerNotices/test.ts
@@ -221,3 +221,25 @@
   t.notOk(notices.isCold('s1/1'));
   t.end();
 });
+
+t.test(
+  'servers of a data centre count as cold after its evacuation, until the list is newer',
+  (t) => {
+    const [notices, uncapped] = [createColdNotices(), createColdNotices(0)];
+    nowMs = 10_000;
+    for (const each of [notices, uncapped]) register(each, 1, 0);
+    let listAgeMs = 200;
+    notices.setContact({ getListAgeMs: () => listAgeMs, isLed: () => true });
+    notices.recordRevocations(['b']);
+    t.notOk(notices.isCold('s1/1'), 'of another data centre');
+    for (const each of [notices, uncapped]) each.recordRevocations(['a']);
+    t.ok(notices.isCold('s1/1'));
+    t.equal(notices.getRequestLimit('s1/1'), 8);
+    t.notOk(uncapped.isCold('s1/1'), 'its service has no limit for cold servers');
+    nowMs = 12_100;
+    t.ok(notices.isCold('s1/1'), 'the list may lack a registration that was written since');
+    listAgeMs = 50;
+    t.notOk(notices.isCold('s1/1'));
+    t.end();
+  },
+);
--- a/src/serving/createServerNotices/types.ts
+++ b/src/serving/createServerNotices/types.ts
@@ -26,6 +26,11 @@
    * process may have started in its place, which is cold.
    */
   recordDisconnection: (incarnation: string) => void;
+  /**
+   * Records that evacuations of data centres were revoked. Until this host's list is newer, their servers
+   * count as cold: they may have been idle for long.
+   */
+  recordRevocations: (dataCentres: readonly string[]) => void;
   /** Records limits, by incarnation, as another host has learned of them. */
   recordLimits: (limits: ReadonlyMap<string, RequestLimit>) => void;
   /** Returns the limits, by incarnation, also those that have ended, until `applyTo` drops them. */
