Send nothing for callers that left while the host was behind

Cause: a host that was behind reads a request in one turn of the event loop and the end of its connection in the next one, and sends the request in between. The same after a wait: timers run before the input is read.

A request waits for the next poll before each send (three turns of the loop, as connections are closed at the end of one). The start of a host process in tests moved to a module that two tests share.

--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -1,4 +1,5 @@
 import { isAborted } from '../../common/isAborted.js';
+import { waitForPoll } from '../../common/waitForPoll.js';
 import { mayRetry } from '../../decisions/serving/mayRetry/index.js';
 import {
   AttemptFailure,
@@ -231,6 +232,8 @@
     if (admission === ServerAdmission.chooseAgain || isAborted(response.signal)) continue;
     // The data centre may have been evacuated, and this process paused, while the request waited.
     await state.context.refreshServers(response.signal);
+    // The caller may have left in that time, also where nothing had to be waited for.
+    await waitForPoll();
     if (state.context.evacuations.isEvacuated(selection.server.dataCentre)) continue;
     if (isAborted(response.signal)) continue;
     if (!(await runOnServer(state, selection))) return;
--- a/tests/evacuationFaults.test.ts
+++ b/tests/evacuationFaults.test.ts
@@ -1,62 +1,21 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { request as sendRequest } from 'undici';
 import t, { type Test } from 'tap';
-import { pickFreePort } from './support/pickFreePort.js';
+import { startHostProcess, type HostProcess } from './support/hostProcess.js';
 import { startPlatformEngine, type PlatformEngine } from './support/platformEngine.js';
 import { buildConfiguration, sendToPort } from './support/platformFleet.js';
 import { startPlatformStore, type PlatformStore } from './support/platformStore.js';
-import { startProcess, type RunningProcess } from './support/processes.js';
 import { waitUntil } from './support/waitUntil.js';
 
 const EVACUATE_MS = 5000;
-const CHANGE_DELAY_MS = 4000; // of the other changes, as in the deployment
 const KEY = 'op/evacuate/b';
 
-interface Host {
-  process: RunningProcess;
-  callerPort: number;
-}
-
 interface Fleet {
   store: PlatformStore;
-  hosts: Map<string, Host>;
+  hosts: Map<string, HostProcess>;
   /** The server in data centre b. */
   evacuated: PlatformEngine;
 }
 
-async function startHost(store: PlatformStore, name: string): Promise<Host> {
-  const [callerPort, readyPort, peerPort, metricsPort] = await Promise.all(
-    Array.from({ length: 4 }, pickFreePort),
-  );
-  const flags = {
-    host: name,
-    'data-centre': 'a',
-    callers: `127.0.0.1:${callerPort}`,
-    ready: `127.0.0.1:${readyPort}`,
-    store: `127.0.0.1:${store.endpoint.port}`,
-    'peer-port': peerPort,
-    'metrics-port': metricsPort,
-    'configuration-delay-ms': CHANGE_DELAY_MS,
-    'draining-delay-ms': CHANGE_DELAY_MS,
-    'evacuation-delay-ms': EVACUATE_MS,
-  };
-  const process = startProcess(
-    name,
-    '../dist-tools/platform/main.js',
-    Object.entries(flags).map(([flag, value]) => `--${flag}=${value}`),
-  );
-  await waitUntil(`${name} is ready`, async () => {
-    try {
-      const response = await sendRequest(`http://127.0.0.1:${readyPort}/api/ready`);
-      await response.body.dump();
-      return response.statusCode === 200;
-    } catch {
-      return false;
-    }
-  });
-  return { process, callerPort: callerPort ?? 0 };
-}
-
 async function startFleet(t: Test): Promise<Fleet> {
   const store = await startPlatformStore();
   store.put('op/config', buildConfiguration(1));
@@ -67,8 +26,9 @@
   );
   for (const engine of engines) store.put(`servers/${engine.id}`, engine.buildRegistration());
   const [, evacuated] = engines as [PlatformEngine, PlatformEngine];
-  const hosts = new Map<string, Host>();
-  for (const name of ['host-1', 'host-2', 'host-3']) hosts.set(name, await startHost(store, name));
+  const hosts = new Map<string, HostProcess>();
+  for (const name of ['host-1', 'host-2', 'host-3'])
+    hosts.set(name, await startHostProcess(store, name, { 'evacuation-delay-ms': EVACUATE_MS }));
   t.teardown(async () => {
     for (const { process } of hosts.values()) process.kill('SIGKILL');
     await Promise.all([...hosts.values()].map(({ process }) => process.exited));
@@ -84,7 +44,7 @@
   (store.read('bronzelanding/command') as { holder: string } | undefined)?.holder;
 
 /** Sends requests to hosts for a time, a few at once so that no server gets all; returns how many were served. */
-async function sendFor(hosts: Iterable<Host>, milliseconds: number): Promise<number> {
+async function sendFor(hosts: Iterable<HostProcess>, milliseconds: number): Promise<number> {
   let served = 0;
   const endsAtMs = performance.now() + milliseconds;
   while (performance.now() < endsAtMs)
