Let only engines slower than the others of their service be avoided

With pace-weight 1, the absolute share of slow streams counted. Where every engine pauses for longer than callers accept, it followed the load instead of the speed, and engines were avoided for working at all. The leader now computes the excess of each engine over the median of its service, of the share of slow streams and of the ratio of measured to estimated times, beyond what chance explains, and passes it on in an optional field of views. Long prompts avoid slower engines on which other requests run as well.

Not measured on a deployment. The setting stays off by default.

--- a/src/decisions/pace/computeSlowStreamCost/index.ts
+++ b/src/decisions/pace/computeSlowStreamCost/index.ts
@@ -1,14 +1,14 @@
 /** A stream on a server, as far as its pace is concerned. */
 export interface SlowStreamOptions {
-  /** Fraction of the server's recent streams that paused for too long, from 0 to 1. */
+  /** Fraction by which the server's share of slow streams exceeds that of others, from 0 to 1. */
   slowShare: number;
   /** Whether the route declares the longest pause between events. */
   hasPauseTarget: boolean;
 }
 
-// A stream that pauses for too long is late for its caller, as one whose first event comes a second or
-// two after its target.
-const SLOW_STREAM_MS = 1500;
+// With 1,500 ms, the first events on the other engines of a replay near its capacity became late; see
+// docs/design/pace-of-servers.md.
+const SLOW_STREAM_MS = 500;
 
 /**
  * Computes how many milliseconds of delay a server's pace counts for in the choice of a server. Answers
--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -1,3 +1,4 @@
+import { computePromptHarmCost } from '../../pace/computePromptHarmCost/index.js';
 import { computeSlowStreamCost } from '../../pace/computeSlowStreamCost/index.js';
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
 import { PROMPT_TOKENS_PER_MS } from '../constants.js';
@@ -78,7 +79,7 @@
   options: RankServersOptions = {},
 ): RankedServer[] {
   const { spread = 0, othersWeight = 0 } = options;
-  const { hasPauseTarget = false, sharedTokens, unsharedTokens } = request;
+  const { hasPauseTarget = false, sharedTokens, unsharedTokens, outputTokens = 0 } = request;
   const tokens = sharedTokens + unsharedTokens;
   const workWeight = computeWorkWeight(candidates, { tokens, othersWeight });
   const preferred = findPreferred(candidates, request.affinityKey);
@@ -93,8 +94,11 @@
       const loadMs = (candidate.memoryTokens > 0 ? workWeight - 1 : candidate.active) * costMs;
       // An exponential distribution, whose long tail leaves no server without a chance.
       const spreadMs = -Math.log(1 - random()) * spread * costMs;
-      const { slowShare = 0 } = candidate;
-      const paceMs = computeSlowStreamCost({ slowShare, hasPauseTarget });
+      const { slowShare = 0, active } = candidate;
+      const promptTokens = Math.max(0, uncachedTokens - outputTokens);
+      const paceMs =
+        computeSlowStreamCost({ slowShare, hasPauseTarget }) +
+        computePromptHarmCost({ slowShare, promptTokens, active });
       const scoreMs = delayMs + loadMs + paceMs + spreadMs;
       return {
         ranked: { candidate, delayMs, scoreMs, uncachedTokens },
--- a/src/decisions/serving/types.ts
+++ b/src/decisions/serving/types.ts
@@ -25,7 +25,7 @@
   serviceTimeMs: number;
   /** Ratio of the measured to the estimated time to first byte. */
   latencyRatio: number;
-  /** Fraction of its recent streams that paused for too long, from 0 to 1; 0 by default. */
+  /** Share of slow streams above the median of its service, from 0 to 1; 0 by default. */
   slowShare?: number;
   /** Milliseconds until it wants another request. */
   waitMs: number;
@@ -54,6 +54,8 @@
   hasPauseTarget?: boolean;
   /** Tokens that are not shared: the rest of the prompt and the maximum output. */
   unsharedTokens: number;
+  /** Maximum output, part of `unsharedTokens`; 0 by default. */
+  outputTokens?: number;
 }
 
 /** A candidate with the estimated delay of a request on it. */
--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -8,7 +8,7 @@
     flag: 'pace-weight',
     variable: 'BRONZELANDING_PACE_WEIGHT',
     description:
-      'How much it counts in choices and plans that the streams of an engine pause for longer than their routes accept; 0 for nothing.',
+      'How much it counts in choices and plans that an engine is slower than the others of its service: more of its streams pause for longer than their routes accept; 0 for nothing.',
     fallback: '0',
     unit: 'number',
     parse: parseNumber(0, 1),
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -4,7 +4,7 @@
 import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
 import { formatError } from '../../errors/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
-import { decodeServerPaces } from '../paceMessages.js';
+import { applyPaces } from '../paceMessages.js';
 import { createFleetTransport, type FleetConnection } from '../createFleetTransport/index.js';
 import {
   type FleetLevelsMessage,
@@ -103,7 +103,7 @@
     serverRegistry.setUnloadingModels(new Set(view.leavingModels));
     serverRegistry.setSuspects(new Set(view.suspects));
     if (view.limits !== undefined) recordLimits(view.limits);
-    if (view.paces !== undefined) serverPaces.setFleetPaces(decodeServerPaces(view.paces));
+    applyPaces(view, serverPaces);
     if (view.quarantine !== undefined) quarantine.evidence.setQuarantine(view.quarantine, 'leader');
     modelReadyAtMs = new Map(
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
--- a/src/serving/createServerPaces/index.ts
+++ b/src/serving/createServerPaces/index.ts
@@ -12,6 +12,9 @@
   takeSamples: () => Map<string, PaceSample>;
   /** Sets the paces as the leader computed them from the samples of all hosts. */
   setFleetPaces: (paces: ReadonlyMap<string, ServerPace>) => void;
+  /** Sets how much slower servers are than the others of their service; absent ones are not. */
+  setFleetExcesses: (excesses: ReadonlyMap<string, ServerPace>) => void;
+  /** Share of slow streams of a server above that of the others of its service. */
   getSlowShare: (server: string) => number;
   /** Counts the servers of which most streams pause for too long. */
   countSlow: () => number;
@@ -32,6 +35,7 @@
 export function createServerPaces({ weight = 0 }: ServerPacesOptions = {}): ServerPaces {
   let samples = new Map<string, PaceSample>();
   let fleetPaces: ReadonlyMap<string, ServerPace> = new Map();
+  let fleetExcesses: ReadonlyMap<string, ServerPace> = new Map();
   const add = (server: string, sample: Partial<PaceSample>): void => {
     const older = samples.get(server);
     // Without a leader nobody takes the samples.
@@ -51,14 +55,17 @@
     setFleetPaces: (paces) => {
       fleetPaces = paces;
     },
-    getSlowShare: (server) => weight * (fleetPaces.get(server)?.slowShare ?? 0),
+    setFleetExcesses: (excesses) => {
+      fleetExcesses = excesses;
+    },
+    getSlowShare: (server) => weight * (fleetExcesses.get(server)?.slowShare ?? 0),
     countSlow: () =>
       [...fleetPaces.values()].filter(({ slowShare }) => slowShare > SLOW_SHARE).length,
     getLatencyRatio: (server, ownRatio, ownResponses) =>
       computeLatencyRatio({
         ownRatio,
         ownResponses,
-        fleetRatio: weight > 0 ? fleetPaces.get(server)?.latencyRatio : undefined,
+        fleetRatio: weight > 0 ? fleetExcesses.get(server)?.latencyRatio : undefined,
       }),
   };
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -166,6 +166,8 @@
     evacuations: evacuations.optional(),
     /** Paces of all servers; only when they were computed anew since the last view. */
     paces: serverPacesSchema.optional(),
+    /** Servers slower than others of their service; with the paces, absent in older versions. */
+    paceExcesses: serverPacesSchema.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -1,6 +1,6 @@
 /** How far the decisions for heavy load take effect in a deployment; 0 for not at all. */
 export interface LoadOptions {
-  /** How much the pace of servers counts in choices and plans. */
+  /** How much a server that is slower than others counts in choices and plans. */
   paceWeight: number;
   /** How much the delay of other requests counts in the choice of an engine. */
   othersWeight: number;
--- a/src/serving/paceMessages.ts
+++ b/src/serving/paceMessages.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import type { PaceSample, ServerPace } from '../decisions/pace/types.js';
+import type { ServerPaces } from './createServerPaces/index.js';
 
 const count = z.number().nonnegative();
 /** Streams, slow streams, measured and estimated milliseconds to the first bytes, by server. */
@@ -51,3 +52,21 @@
     ]),
   );
 }
+
+/** Paces, and their excesses, as a view of the leader carries them. */
+export interface SentPaces {
+  /** Undefined where they have not changed. */
+  paces?: SentServerPaces;
+  /** Undefined in views without paces, and in those of older versions. */
+  paceExcesses?: SentServerPaces;
+}
+
+/** Applies the paces of a view; with paces of an older version no server counts as slower than others. */
+export function applyPaces(
+  { paces, paceExcesses = {} }: SentPaces,
+  serverPaces: Pick<ServerPaces, 'setFleetPaces' | 'setFleetExcesses'>,
+): void {
+  if (paces === undefined) return;
+  serverPaces.setFleetPaces(decodeServerPaces(paces));
+  serverPaces.setFleetExcesses(decodeServerPaces(paceExcesses));
+}
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -19,6 +19,7 @@
     sharedParts,
     sharedTokens,
     unsharedTokens: Math.max(0, promptTokens - sharedTokens) + maximumOutputTokens,
+    outputTokens: maximumOutputTokens,
     isUrgent: request.route.priority === 0,
     hasPauseTarget: request.route.pauseTargetMs !== undefined,
   };
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -130,7 +130,7 @@
     measureUtilisation,
     measureBacklog,
     getRequestLimit: options.serverNotices.getRequestLimit,
-    getSlowShare: (server) => options.load.paceWeight * (paces.find(server)?.slowShare ?? 0),
+    getSlowShare: (server) => options.load.paceWeight * paces.findExcessShare(server),
     getColdMs: options.serverNotices.getColdMs,
     // Replicas in an evacuated data centre serve nobody, so that their models are loaded elsewhere.
     listControllers: (service) =>
@@ -229,7 +229,7 @@
       const ageMs = options.listAge.getAgeMs();
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
-      paces.update(new Set(servers.keys()));
+      paces.update(servers);
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
       return (host) => {
@@ -252,7 +252,7 @@
           suspects,
           quarantine: quarantine.takeState(host),
           limits: limitFeed.takeLimits(host),
-          paces: paces.takePaces(host),
+          ...paces.takePaces(host),
           evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
