Refuse by an admission level of the service, off by default

Hosts report what callers ask for by class, organisation and size. The leader computes a level for each service every 200 ms and sends it in its views, with its age. A host keeps the last level for 3 s without a new one and then lowers it slowly, and a new leader goes on from it. Requests whose engines have free capacity are never refused for the level. The settings max-refused-share and fair-weight are 0 by default, which sends and refuses nothing.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -12,6 +12,7 @@
 import { createEvacuations } from '../../../serving/createEvacuations/index.js';
 import { createListRefresh } from '../../../serving/createListRefresh/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
+import { createAdmissionControl } from '../../../serving/createAdmissionControl/index.js';
 import { createServerPaces } from '../../../serving/createServerPaces/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
@@ -53,6 +54,7 @@
   });
   const { load } = settings;
   const serverPaces = createServerPaces({ weight: load.paceWeight });
+  const admission = createAdmissionControl({ ...options, load });
   const serverRegistry = createServerRegistry({
     clock,
     log,
@@ -108,6 +110,7 @@
     serverNotices,
     serverPaces,
     load,
+    admission,
     rateLimiter,
     retryBudget,
     host,
@@ -159,6 +162,7 @@
     requestLimiter: fleetMember.requestLimiter,
     serverNotices,
     serverPaces,
+    admission,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -31,4 +31,22 @@
     unit: 'number',
     parse: parseWeight,
   },
+  maximumRefusedShare: {
+    flag: 'max-refused-share',
+    variable: 'BRONZELANDING_MAX_REFUSED_SHARE',
+    description:
+      'Highest part of the work of a service that is refused by priority while its engines are short of capacity, where routes declare a longest pause; 0 for no admission levels.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseNumber(0, 0.95),
+  },
+  fairWeight: {
+    flag: 'fair-weight',
+    variable: 'BRONZELANDING_FAIR_WEIGHT',
+    description:
+      'Part of what an admission level refuses that falls first on organisations that send many times their usual; 0 for none.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseNumber(0, 1),
+  },
 } as const;
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -104,6 +104,7 @@
     serverRegistry.setSuspects(new Set(view.suspects));
     if (view.limits !== undefined) recordLimits(view.limits);
     if (view.paces !== undefined) serverPaces.setFleetPaces(decodeServerPaces(view.paces));
+    options.admission.setLevels(view.admission);
     if (view.quarantine !== undefined) quarantine.evidence.setQuarantine(view.quarantine, 'leader');
     modelReadyAtMs = new Map(
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -6,6 +6,7 @@
 import type { OrganisationRateLimiter } from '../createOrganisationRateLimiter/index.js';
 import type { ServiceRetryBudget } from '../createServiceRetryBudget/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
+import type { AdmissionControl } from '../createAdmissionControl/index.js';
 import type { ServerPaces } from '../createServerPaces/index.js';
 import type { ServerRegistry } from '../createServerRegistry/index.js';
 import type { Evacuations } from '../createEvacuations/index.js';
@@ -67,6 +68,7 @@
   serverNotices: ServerNotices;
   serverPaces: ServerPaces;
   load: LoadOptions;
+  admission: AdmissionControl;
   rateLimiter: OrganisationRateLimiter;
   retryBudget: ServiceRetryBudget;
   host: string;
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -23,6 +23,10 @@
   setColdServerCounter: (count: () => number) => void;
   /** Sets the function that counts the servers with slow streams, called with each rendering. */
   setSlowServerCounter: (count: () => number) => void;
+  /** Counts a request that the admission level of its service refused. */
+  countLevelRefusal: (service: string, reason: string, requestClass: string) => void;
+  /** Sets the source of the admission levels, the refused part of the work by service. */
+  observeLevels: (readLevels: () => ReadonlyMap<string, number>) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
   /** Counts a client that exceeded a limit and was rejected or closed. */
@@ -50,6 +54,11 @@
   const orders = counter('orders_total', 'Orders to engines', ['action', 'outcome']);
   const omitted = counter('log_lines_omitted_total', 'Log lines above the limit', []);
   const rejected = counter('clients_rejected_total', 'Clients above a limit', ['reason']);
+  const refusals = counter('level_refusals_total', 'Requests refused by an admission level', [
+    'service',
+    'reason',
+    'class',
+  ]);
   const firstBytes = histogram('first_bytes_seconds', 'Arrival to first bytes of the answer');
   const durations = histogram('request_seconds', 'Arrival to the end of the answer');
   const leading = new Gauge({
@@ -118,6 +127,20 @@
     setColdServerCounter: (count) => {
       countCold = count;
     },
+    countLevelRefusal: (service, reason, requestClass) =>
+      refusals.inc({ service, reason, class: requestClass }),
+    observeLevels: (readLevels) => {
+      new Gauge({
+        name: 'bronzelanding_admission_level',
+        help: 'Part of the work of a service that is refused, as this host knows',
+        labelNames: ['service'],
+        registers,
+        collect() {
+          this.reset();
+          for (const [service, level] of readLevels()) this.set({ service }, level);
+        },
+      });
+    },
     countOmittedLogLine: () => omitted.inc(),
     countRejectedClient: (reason) => rejected.inc({ reason }),
   };
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { admissionLevelsSchema, admissionSamplesSchema } from './admissionMessages.js';
 import { paceSamplesSchema, serverPacesSchema } from './paceMessages.js';
 
 /** Longest name of a server, model, adapter or data centre in a message. */
@@ -120,6 +121,8 @@
     servedParts: z.array(z.tuple([name, z.number()])).default([]),
     /** What this host measured of the responses of servers since its last report. */
     paces: paceSamplesSchema.default({}),
+    /** What callers asked this host for since its last report; absent in older versions. */
+    admission: admissionSamplesSchema.optional(),
   }),
   /** Aggregated state of the fleet that the leader sends to each host every round. */
   z.object({
@@ -166,6 +169,8 @@
     evacuations: evacuations.optional(),
     /** Paces of all servers; only when they were computed anew since the last view. */
     paces: serverPacesSchema.optional(),
+    /** Admission levels by service; absent in older versions and where there are none. */
+    admission: admissionLevelsSchema.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -6,4 +6,8 @@
   othersWeight: number;
   /** How much prompts that wait at an engine count in the plan of replicas. */
   backlogWeight: number;
+  /** Highest part of the work of a service that its admission level may refuse. */
+  maximumRefusedShare: number;
+  /** Part of what is refused that falls first on organisations above their share. */
+  fairWeight: number;
 }
--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -147,6 +147,11 @@
       if (isEventStream && !response.isHeadSent()) pendingHead = head;
       else if (!response.isHeadSent()) response.sendHead(head);
       context.metrics.recordFirstBytes(route.name, result.firstBytesMs);
+      if (route.pauseTargetMs !== undefined)
+        context.admission.recordStream(
+          request.service,
+          result.firstBytesMs > route.latencyTargetMs,
+        );
     };
     const write = (chunk: Buffer): boolean => {
       if (chunk.length === 0) return true;
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -121,15 +121,15 @@
   );
 }
 
-/** Values that decided a failure, for the log. */
-type FailureLogFields = { retryAfterMs?: number } & Record<string, unknown>;
+/** Values that decided a failure, for the log; `isRetryExact` lets the retry time go below its lower bound. */
+type FailureLogFields = { retryAfterMs?: number; isRetryExact?: boolean } & Record<string, unknown>;
 
 /** Responds with an error; resets the connection when the response has started already. */
 export function failRequest(
   state: RequestState,
   status: number,
   reason: string,
-  { retryAfterMs, ...logFields }: FailureLogFields = {},
+  { retryAfterMs, isRetryExact, ...logFields }: FailureLogFields = {},
 ): void {
   const { response } = state;
   recordCompletion(state, status, reason, { retryAfterMs, ...logFields });
@@ -141,7 +141,10 @@
       reason,
       retryAfterMs === undefined
         ? undefined
-        : Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs)),
+        : Math.min(
+            MAX_RETRY_AFTER_MS,
+            Math.max(isRetryExact === true ? 0 : MIN_RETRY_AFTER_MS, retryAfterMs),
+          ),
     );
 }
 
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -11,6 +11,7 @@
 import type { ServingContext } from '../types.js';
 import { admitToServer, ServerAdmission } from './_lib/admitToServer.js';
 import { mayHaveRun, toServerOutcome } from './_lib/attemptResults.js';
+import { recordUnbegunStream, refuseOverLevel } from './_lib/followAdmissionLevel.js';
 import { chooseServer, type ServerSelection } from './_lib/chooseServer.js';
 import {
   computeRemainingMs,
@@ -121,6 +122,7 @@
   if (result.isDisconnected || result.failure === AttemptFailure.unreachable)
     context.serverNotices.recordDisconnection(server.incarnation);
   recordPace(state, server, result);
+  recordUnbegunStream(state, result);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
   for (const name of usedNames) context.recordModelUse(server.id, name, -1);
@@ -277,7 +279,7 @@
     const work = state.routed.unsharedTokens + OUTPUT_TOKEN_WORK * request.maximumOutputTokens;
     context.placement.recordDemand(service, model, work);
   }
-  await serveUntilDone(state);
+  if (!refuseOverLevel(state)) await serveUntilDone(state);
   if (!state.mayHaveRun && organisation !== undefined)
     context.rateLimiter.refund(organisation.name, chargedTokens);
 }
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -17,6 +17,7 @@
   type SentServers,
 } from './_lib/collectServerChanges.js';
 import { createRequestSchedules } from './_lib/createRequestSchedules.js';
+import { createAdmissionLevels } from './_lib/createAdmissionLevels.js';
 import { createPaceMeter } from './_lib/createPaceMeter.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
@@ -62,6 +63,8 @@
   });
   const limitFeed = createLimitFeed({ clock, getLimits: options.serverNotices.getLimits });
   const paces = createPaceMeter(clock);
+  const keptLevels = options.admission.getKeptLevels();
+  const admissionLevels = createAdmissionLevels({ ...options, keptLevels });
   const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
@@ -162,6 +165,7 @@
       shortestTargetsMs = new Map(
         [...next.services.keys()].map((name) => [name, findShortestTargetMs(next.routes, name)]),
       );
+      admissionLevels.setConfiguration(next);
       buckets.setOrganisations([...(next.organisationsByKey?.values() ?? [])]);
       updateControllers();
     },
@@ -179,6 +183,7 @@
       demand.recordRequests(report.requests);
       quarantine.recordReport(report);
       paces.record(report.paces);
+      admissionLevels.record(report.admission ?? {});
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -215,6 +220,7 @@
     prepareViews: (hostCount, isCurrent) => {
       const reports = listCurrentHosts().map(({ report }) => report);
       loads = addLoads(reports);
+      const admission = admissionLevels.update(servers, loads);
       const suspects = faults.updateSuspects(reports);
       const adapters = [...controllers].map(([id, controller]) => {
         const list = controller.listAdapters();
@@ -253,6 +259,7 @@
           quarantine: quarantine.takeState(host),
           limits: limitFeed.takeLimits(host),
           paces: paces.takePaces(host),
+          admission,
           evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -4,6 +4,7 @@
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
 import type { Evacuations } from '../createEvacuations/index.js';
 import type { ListAge } from '../createListAge/index.js';
+import type { AdmissionControl } from '../createAdmissionControl/index.js';
 import type { LoadOptions } from '../loadOptions.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
 import type { ServingMetrics } from '../createServingMetrics/index.js';
@@ -37,6 +38,8 @@
   /** The evacuated data centres as this host knows them. */
   evacuations: Pick<Evacuations, 'isEvacuated' | 'encode'>;
   load: LoadOptions;
+  /** The admission levels as this host last knew them. */
+  admission: Pick<AdmissionControl, 'getKeptLevels'>;
   /** Age of this host's list of servers. */
   listAge: Pick<ListAge, 'getAgeMs'>;
   /** Levels of the organisations' token buckets as this host last knew them. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Log } from '../ports/log.js';
 import type { BackendClient } from '../ports/serving.js';
+import type { AdmissionControl } from './createAdmissionControl/index.js';
 import type { CrashEvidence } from './createCrashEvidence/index.js';
 import type { Evacuations } from './createEvacuations/index.js';
 import type { OrganisationRateLimiter } from './createOrganisationRateLimiter/index.js';
@@ -118,6 +119,7 @@
   >;
   evacuations: Pick<Evacuations, 'isEvacuated' | 'getAgeMs'>;
   serverPaces: Pick<ServerPaces, 'recordStream'>;
+  admission: Pick<AdmissionControl, 'recordRequest' | 'recordStream' | 'decide'>;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -203,6 +203,8 @@
     paceWeight: 1,
     othersWeight: 1,
     backlogWeight: 1,
+    maximumRefusedShare: 0.9,
+    fairWeight: 1,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
