Learn how much each engine may run at once

Engines take requests up to their slots, and preempt beyond their memory; long before that, streams pause for longer than their callers accept. The leader now learns a limit of requests and of tokens for each engine from the late streams of all hosts (additive increase, multiplicative decrease, memory first), and estimates the memory that running requests hold, shared parts once. Views carry both in optional fields; streams with a pause target prefer engines below their limits. The setting concurrency-late-share is 0 by default, for no limits.

Not measured on a deployment.

--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -60,6 +60,8 @@
   slots: number;
   /** Tokens that fit into the memory of an engine beside the weights. */
   memoryTokens: number;
+  /** Tokens in one event of a stream; 1 by default. */
+  tokensPerEvent?: number;
   weightsMb: number;
   adapterSlots: number;
   /** Loads from the weight store per second, over all engines. */
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -7,11 +7,10 @@
 import { createOrganisationRateLimiter } from '../../../serving/createOrganisationRateLimiter/index.js';
 import { createServiceRetryBudget } from '../../../serving/createServiceRetryBudget/index.js';
 import { createStoreOutage } from '../../../serving/createStoreOutage/index.js';
-import { createPause } from '../../../common/createPause.js';
 import { createEpochStore } from '../../../serving/createEpochStore/index.js';
 import { createEvacuations } from '../../../serving/createEvacuations/index.js';
-import { createListRefresh } from '../../../serving/createListRefresh/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
+import { createConcurrencyLimits } from '../../../serving/createConcurrencyLimits/index.js';
 import { createServerPaces } from '../../../serving/createServerPaces/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
@@ -20,6 +19,7 @@
 import { serveRequest } from '../../../serving/serveRequest/index.js';
 import type { ServingContext } from '../../../serving/types.js';
 import type { FleetEntry, FleetEntryOptions } from './types.js';
+import { createRefreshes } from './_lib/createRefreshes.js';
 import { runPlannedStop } from './_lib/runPlannedStop.js';
 
 export type * from './types.js';
@@ -28,8 +28,6 @@
 const LEADER_TTL_MS = 2000;
 /** The leader keeps trying to connect to a failed host until its registration has expired. */
 const REGISTRATION_TTL_MS = 20_000;
-/** A busy host reads the evacuations later than its servers would be missed, but it must read them. */
-const MAX_EVACUATIONS_WAIT_MS = 1000;
 /** Pause after a change of the configuration, so that frequent changes are batched. */
 const CONFIGURATION_BATCH_DELAY_MS = 100;
 
@@ -49,10 +47,16 @@
     prefix: options.evacuationPrefix,
     // The other hosts go on sending until they know.
     onChange: () => fleetMember.announceEvacuations(),
-    onComplete: () => evacuationsRefresh.recordRead(),
+    onComplete: () => refreshes.recordEvacuationsRead(),
   });
   const { load } = settings;
   const serverPaces = createServerPaces({ weight: load.paceWeight });
+  const concurrency = createConcurrencyLimits({
+    clock,
+    lateShare: load.concurrencyLateShare,
+    getTokensPerEvent: (service) =>
+      configuration?.services.get(service)?.engines?.tokensPerEvent ?? 1,
+  });
   const serverRegistry = createServerRegistry({
     clock,
     log,
@@ -64,7 +68,7 @@
     getColdMs: serverNotices.getShiftedColdMs,
   });
   const freshness = computeFreshnessLimits(settings.maximumStalenessMs);
-  const listAge = createListAge(clock, { onComplete: () => listRefresh.recordRead() });
+  const listAge = createListAge(clock, { onComplete: () => refreshes.recordListRead() });
   const outage = createStoreOutage({ clock });
   const rateLimiter = createOrganisationRateLimiter({ clock });
   const retryBudget = createServiceRetryBudget({
@@ -107,6 +111,7 @@
     serverRegistry,
     serverNotices,
     serverPaces,
+    concurrency,
     load,
     rateLimiter,
     retryBudget,
@@ -123,24 +128,13 @@
     onServers: (changes) => serverWatch.applyLeaderChanges(changes),
   });
   serverNotices.setContact({ getListAgeMs: listAge.getAgeMs, isLed: fleetMember.isLed });
-  const serversPause = createPause();
-  const listRefresh = createListRefresh({
+  const refreshes = createRefreshes({
     clock,
     listAge,
+    evacuations,
     outage,
     maximumAgeMs: settings.maximumStalenessMs,
-    requestRead: () => {
-      fleetMember.feeds.resumeWaiters();
-      serversPause.end();
-    },
-  });
-  const evacuationsRefresh = createListRefresh({
-    clock,
-    listAge: evacuations,
-    outage,
-    maximumAgeMs: settings.maximumStalenessMs,
-    maximumWaitMs: MAX_EVACUATIONS_WAIT_MS,
-    requestRead: fleetMember.feeds.resumeWaiters,
+    resumeWaiters: fleetMember.feeds.resumeWaiters,
   });
   metrics.observeEvacuations(
     () => new Map(evacuations.list().map((name) => [name, serverRegistry.countRunning(name)])),
@@ -159,15 +153,11 @@
     requestLimiter: fleetMember.requestLimiter,
     serverNotices,
     serverPaces,
+    concurrency,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
-    refreshServers: async (requestSignal) => {
-      await Promise.all([
-        listRefresh.refresh(requestSignal),
-        evacuationsRefresh.refresh(requestSignal),
-      ]);
-    },
+    refreshServers: refreshes.refreshServers,
     evacuations,
     load,
     maximumResponseBytes: settings.maximumResponseBytes,
@@ -240,6 +230,7 @@
   serverNotices.onChange(applyServers);
   metrics.setColdServerCounter(serverNotices.countCold);
   metrics.setSlowServerCounter(serverPaces.countSlow);
+  metrics.observeConcurrencyLimits(concurrency.listLimits);
   const serverWatch = watchServers({
     store,
     prefix: options.servers.prefix,
@@ -263,7 +254,7 @@
     listAge,
     registrationIntervalMs: settings.registrationIntervalMs,
     feed: fleetMember.feeds.servers,
-    pause: serversPause,
+    pause: refreshes.serversPause,
     outage,
   });
   log.info({ incarnation, address: options.address, peerPort, callerPort }, 'started');
@@ -281,6 +272,7 @@
       },
       close: async () => {
         stopping.abort();
+        concurrency.close();
         fleetMember.close();
         options.backendClient.close();
         await store.close();
--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -31,4 +31,13 @@
     unit: 'number',
     parse: parseWeight,
   },
+  concurrencyLateShare: {
+    flag: 'concurrency-late-share',
+    variable: 'BRONZELANDING_CONCURRENCY_LATE_SHARE',
+    description:
+      'Share of late streams, on routes that declare a longest pause, above which fewer requests run on an engine at once; 0 for no such limits.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseNumber(0, 1),
+  },
 } as const;
--- a/src/serving/createFleetMember/_lib/collectReport.ts
+++ b/src/serving/createFleetMember/_lib/collectReport.ts
@@ -14,6 +14,7 @@
   | 'serverRegistry'
   | 'serverNotices'
   | 'serverPaces'
+  | 'concurrency'
   | 'rateLimiter'
 > {
   /** Number of the report since the start of the host. */
@@ -47,6 +48,7 @@
     limits: encodeRequestLimits(serverNotices.takeChangedLimits(), nowMs),
     cold: encodeColdTimes(serverNotices.takeChangedColdTimes(), nowMs),
     paces: encodePaceSamples(sources.serverPaces.takeSamples()),
+    concurrency: sources.concurrency.takeReport(),
     ...sources.crashes,
   };
 }
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -104,6 +104,7 @@
     serverRegistry.setSuspects(new Set(view.suspects));
     if (view.limits !== undefined) recordLimits(view.limits);
     applyPaces(view, serverPaces);
+    options.concurrency.applyView(view.concurrency);
     if (view.quarantine !== undefined) quarantine.evidence.setQuarantine(view.quarantine, 'leader');
     modelReadyAtMs = new Map(
       Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -6,6 +6,7 @@
 import type { OrganisationRateLimiter } from '../createOrganisationRateLimiter/index.js';
 import type { ServiceRetryBudget } from '../createServiceRetryBudget/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
+import type { ConcurrencyLimits } from '../createConcurrencyLimits/index.js';
 import type { ServerPaces } from '../createServerPaces/index.js';
 import type { ServerRegistry } from '../createServerRegistry/index.js';
 import type { Evacuations } from '../createEvacuations/index.js';
@@ -66,6 +67,7 @@
   serverRegistry: ServerRegistry;
   serverNotices: ServerNotices;
   serverPaces: ServerPaces;
+  concurrency: ConcurrencyLimits;
   load: LoadOptions;
   rateLimiter: OrganisationRateLimiter;
   retryBudget: ServiceRetryBudget;
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -23,6 +23,10 @@
   setColdServerCounter: (count: () => number) => void;
   /** Sets the function that counts the servers with slow streams, called with each rendering. */
   setSlowServerCounter: (count: () => number) => void;
+  /** Sets the source of the limits of what servers run at once, by server. */
+  observeConcurrencyLimits: (
+    readLimits: () => ReadonlyMap<string, { requests: number; tokens: number }>,
+  ) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
   /** Counts a client that exceeded a limit and was rejected or closed. */
@@ -57,7 +61,8 @@
     help: 'Whether this host places models',
     registers,
   });
-  const createEvacuationGauge = (
+  const createLabelledGauge = (
+    label: string,
     name: string,
     help: string,
     readValues: () => Iterable<[string, number]>,
@@ -65,12 +70,11 @@
     new Gauge({
       name: `bronzelanding_${name}`,
       help,
-      labelNames: ['data_centre'],
+      labelNames: [label],
       registers,
       collect() {
         this.reset();
-        for (const [dataCentre, value] of readValues())
-          this.set({ data_centre: dataCentre }, value);
+        for (const [item, value] of readValues()) this.set({ [label]: item }, value);
       },
     });
   let countSlow = (): number => 0;
@@ -103,10 +107,14 @@
     countOrder: (action, outcome) => orders.inc({ action, outcome }),
     setLeading: (isLeading) => leading.set(isLeading ? 1 : 0),
     observeEvacuations: (readRunning) => {
-      createEvacuationGauge('evacuated', 'Data centres that are evacuated, 1 for each', () =>
-        [...readRunning().keys()].map((dataCentre) => [dataCentre, 1]),
+      createLabelledGauge(
+        'data_centre',
+        'evacuated',
+        'Data centres that are evacuated, 1 for each',
+        () => [...readRunning().keys()].map((dataCentre) => [dataCentre, 1]),
       );
-      createEvacuationGauge(
+      createLabelledGauge(
+        'data_centre',
         'evacuated_requests_running',
         'Requests of this host that still run in evacuated data centres',
         readRunning,
@@ -118,6 +126,20 @@
     setColdServerCounter: (count) => {
       countCold = count;
     },
+    observeConcurrencyLimits: (readLimits) => {
+      createLabelledGauge(
+        'server',
+        'concurrency_limit_requests',
+        'Requests that a server may run at once',
+        () => [...readLimits()].map(([server, { requests }]) => [server, requests]),
+      );
+      createLabelledGauge(
+        'server',
+        'concurrency_limit_tokens',
+        'Tokens of memory that the requests of a server may hold',
+        () => [...readLimits()].map(([server, { tokens }]) => [server, tokens]),
+      );
+    },
     countOmittedLogLine: () => omitted.inc(),
     countRejectedClient: (reason) => rejected.inc({ reason }),
   };
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { concurrencyReportSchema, concurrencyViewSchema } from './concurrencyMessages.js';
 import { paceSamplesSchema, serverPacesSchema } from './paceMessages.js';
 
 /** Longest name of a server, model, adapter or data centre in a message. */
@@ -120,6 +121,8 @@
     servedParts: z.array(z.tuple([name, z.number()])).default([]),
     /** What this host measured of the responses of servers since its last report. */
     paces: paceSamplesSchema.default({}),
+    /** For the limits of what servers run at once; absent in older versions, and where they are off. */
+    concurrency: concurrencyReportSchema.optional(),
   }),
   /** Aggregated state of the fleet that the leader sends to each host every round. */
   z.object({
@@ -168,6 +171,8 @@
     paces: serverPacesSchema.optional(),
     /** Servers slower than others of their service; with the paces, absent in older versions. */
     paceExcesses: serverPacesSchema.optional(),
+    /** What servers may run at once; absent in older versions, and where these limits are off. */
+    concurrency: concurrencyViewSchema.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -6,4 +6,6 @@
   othersWeight: number;
   /** How much prompts that wait at an engine count in the plan of replicas. */
   backlogWeight: number;
+  /** Share of late streams above which an engine runs fewer requests at once. */
+  concurrencyLateShare: number;
 }
--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -9,8 +9,7 @@
   type CallerResponse,
   type ServingRequest,
 } from '../../ports/serving.js';
-import type { TrackedRequest } from '../createServerRegistry/index.js';
-import type { ServingContext } from '../types.js';
+import type { ServingContext, TrackedStream } from '../types.js';
 
 /** How an attempt ended. */
 export const AttemptOutcome = {
@@ -53,7 +52,7 @@
   request: ServingRequest;
   response: CallerResponse;
   server: BackendServer;
-  trackedRequest: TrackedRequest;
+  trackedRequest: TrackedStream;
   /** Resumes a stream after the event with this id. */
   lastEventId?: string;
   /** Whether the server was sent this request before, and refused it. */
@@ -167,6 +166,7 @@
       incompleteEvent = Buffer.from(split.rest);
       const isProgress = !isOnlyComments(split.whole);
       if (isProgress) recordOutput();
+      if (isProgress) trackedRequest.recordEvents(split.whole);
       result.lastEventId = split.lastEventId ?? result.lastEventId;
       if (pendingHead !== undefined && !isProgress) {
         pendingBytes = Buffer.concat([pendingBytes, split.whole]);
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -9,6 +9,7 @@
 import { rankServers } from '../../../decisions/serving/rankServers/index.js';
 import type { RankedServer } from '../../../decisions/serving/types.js';
 import type { BackendServer } from '../../../ports/serving.js';
+import { rankWithinLimits } from './rankWithinLimits.js';
 import { computeRemainingMs, type RequestState, type SkippedColdServer } from './requestState.js';
 
 const MAX_ADAPTER_CANDIDATES = 3; // engines that the leader may choose from
@@ -42,10 +43,13 @@
   state.evacuationsAgeMs = context.evacuations.getAgeMs();
   const spread = computeChoiceSpread(context.serverRegistry.getHostCount());
   return rankAcceptableFirst(
-    rankServers(candidates, routed, context.random, {
-      spread,
-      othersWeight: routed.hasPauseTarget === true ? context.load.othersWeight : 0,
-    }),
+    rankWithinLimits(
+      state,
+      rankServers(candidates, routed, context.random, {
+        spread,
+        othersWeight: routed.hasPauseTarget === true ? context.load.othersWeight : 0,
+      }),
+    ),
     computeMaximumDelayMs(request, computeRemainingMs(state)),
   );
 }
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -7,7 +7,7 @@
   type CallerResponse,
   type ServingRequest,
 } from '../../ports/serving.js';
-import { AttemptOutcome, runAttempt, type AttemptResult } from '../runAttempt/index.js';
+import { AttemptOutcome, runAttempt } from '../runAttempt/index.js';
 import type { ServingContext } from '../types.js';
 import { admitToServer, ServerAdmission } from './_lib/admitToServer.js';
 import { mayHaveRun, toServerOutcome } from './_lib/attemptResults.js';
@@ -22,13 +22,13 @@
   refuseRequest,
   type RequestState,
 } from './_lib/requestState.js';
+import { recordPace, startTracking } from './_lib/startTracking.js';
 
 const MAX_SENDS = 5; // a refusal costs a round trip, and further servers rarely have capacity either
 const DEFAULT_RETRY_AFTER_MS = 1000; // servers register and deregister within seconds
 /** Nothing changes for the prompt until operators have acted, so that a sooner return is in vain. */
 const QUARANTINE_RETRY_AFTER_MS = 600_000;
 const TRIAL_RETRY_AFTER_MS = 1000; // the first events of the trial, and two rounds until all hosts know of them
-const SHARED_PROMPT_WEIGHT = 0.3; // shared prompt parts occupy memory once for all requests
 const OUTPUT_TOKEN_WORK = 8; // an output token costs about as much as this many prompt tokens
 
 /** Records what a failed attempt tells of its server, and excludes it from further attempts. */
@@ -49,17 +49,6 @@
   }
 }
 
-/** Records whether a stream kept to the longest pause that its caller accepts. */
-function recordPace(
-  { context, request }: RequestState,
-  { id }: BackendServer,
-  { longestPauseMs }: AttemptResult,
-): void {
-  const { pauseTargetMs } = request.route;
-  if (pauseTargetMs === undefined || longestPauseMs === undefined) return;
-  context.serverPaces.recordStream(id, longestPauseMs > pauseTargetMs);
-}
-
 /** Lists the model and the adapter that a request uses, as `MODEL` and `MODEL/ADAPTER`. */
 function listUsedNames({ model, adapter }: ServingRequest): string[] {
   if (model === undefined) return [];
@@ -85,16 +74,10 @@
 
 /** Runs one attempt on a server; returns whether the request is to be retried. */
 async function runOnServer(state: RequestState, selection: ServerSelection): Promise<boolean> {
-  const { context, request, response, routed } = state;
+  const { context, request, response } = state;
   const { server } = selection;
   const { retryPolicy, maximumAttempts } = request.route;
-  const trackedRequest = context.serverRegistry.trackRequest(server.id, {
-    backlogTokens: selection.uncachedTokens,
-    reservedTokens: routed.unsharedTokens + SHARED_PROMPT_WEIGHT * routed.sharedTokens,
-    isUrgent: routed.isUrgent,
-    sharedParts: routed.sharedParts,
-    delayMs: selection.delayMs,
-  });
+  const trackedRequest = startTracking(state, selection);
   const usedNames = listUsedNames(request);
   for (const name of usedNames) context.recordModelUse(server.id, name, 1);
   state.sends += 1;
@@ -120,7 +103,7 @@
   if (result.outcome === AttemptOutcome.served) context.quarantine.recordServed(sharedPartIds);
   if (result.isDisconnected || result.failure === AttemptFailure.unreachable)
     context.serverNotices.recordDisconnection(server.incarnation);
-  recordPace(state, server, result);
+  recordPace(state, server, sentAtMs, result);
   if (result.isCrashSuspected)
     context.quarantine.recordCrash(server.incarnation, sharedPartIds, sentAtMs);
   for (const name of usedNames) context.recordModelUse(server.id, name, -1);
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -17,6 +17,7 @@
   type SentServers,
 } from './_lib/collectServerChanges.js';
 import { createRequestSchedules } from './_lib/createRequestSchedules.js';
+import { createConcurrencyMeter } from './_lib/createConcurrencyMeter.js';
 import { createPaceMeter } from './_lib/createPaceMeter.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
@@ -98,6 +99,12 @@
       pool,
     });
   };
+  const concurrency = createConcurrencyMeter({
+    clock,
+    lateShare: options.load.concurrencyLateShare,
+    knownLimits: options.concurrency.listLimits(),
+    findPool,
+  });
   const updateControllers = (): void =>
     syncControllers(controllers, { servers, findPool, createController });
 
@@ -179,6 +186,7 @@
       demand.recordRequests(report.requests);
       quarantine.recordReport(report);
       paces.record(report.paces);
+      concurrency.record(report);
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -230,6 +238,7 @@
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
       paces.update(servers);
+      concurrency.update(reports, loads, servers);
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
       return (host) => {
@@ -253,6 +262,7 @@
           quarantine: quarantine.takeState(host),
           limits: limitFeed.takeLimits(host),
           ...paces.takePaces(host),
+          concurrency: concurrency.takeView(host),
           evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../../ports/log.js';
 import type { ModelOrderClient } from '../../ports/modelOrderClient.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { ConcurrencyLimits } from '../createConcurrencyLimits/index.js';
 import type { Evacuations } from '../createEvacuations/index.js';
 import type { ListAge } from '../createListAge/index.js';
 import type { LoadOptions } from '../loadOptions.js';
@@ -37,6 +38,8 @@
   /** The evacuated data centres as this host knows them. */
   evacuations: Pick<Evacuations, 'isEvacuated' | 'encode'>;
   load: LoadOptions;
+  /** Limits of what servers run at once as this host knows them. */
+  concurrency: Pick<ConcurrencyLimits, 'listLimits'>;
   /** Age of this host's list of servers. */
   listAge: Pick<ListAge, 'getAgeMs'>;
   /** Levels of the organisations' token buckets as this host last knew them. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -7,8 +7,9 @@
 import type { ServiceRetryBudget } from './createServiceRetryBudget/index.js';
 import type { ServerNotices } from './createServerNotices/index.js';
 import type { ServerPaces } from './createServerPaces/index.js';
-import type { ServerRegistry } from './createServerRegistry/index.js';
+import type { ServerRegistry, TrackedRequest } from './createServerRegistry/index.js';
 import type { LoadOptions } from './loadOptions.js';
+import type { ConcurrencyLimits } from './createConcurrencyLimits/index.js';
 import type { ServingMetrics } from './createServingMetrics/index.js';
 
 /** A request to load an adapter on one of some engines, which are in order of preference. */
@@ -99,6 +100,12 @@
   reserve: (incarnation: string, maximumWaitMs: number) => Promise<number | undefined>;
 }
 
+/** A request that counts towards the load and the held memory of a server until it is released. */
+export interface TrackedStream extends TrackedRequest {
+  /** Records complete events of its response. */
+  recordEvents: (events: Buffer) => void;
+}
+
 /** Dependencies of serving requests. */
 export interface ServingContext {
   clock: Clock;
@@ -118,6 +125,10 @@
   >;
   evacuations: Pick<Evacuations, 'isEvacuated' | 'getAgeMs'>;
   serverPaces: Pick<ServerPaces, 'recordStream'>;
+  concurrency: Pick<
+    ConcurrencyLimits,
+    'holdMemory' | 'recordStream' | 'getLimit' | 'getHeldTokens'
+  >;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
--- a/tests/silentConnections.test.ts
+++ b/tests/silentConnections.test.ts
@@ -138,6 +138,8 @@
     savedPartGroups: [],
     lastRegisteredAtMs: new Map(),
     listAge: { getAgeMs: () => 0 },
+    load: { concurrencyLateShare: 0 },
+    concurrency: { listLimits: () => new Map() },
   } as unknown as FleetLeaderOptions);
   t.teardown(() => leader.stop());
   const report = (number: number, active: number, incarnation = 'h1/1') =>
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -169,6 +169,8 @@
   maximumStalenessMs?: number;
   /** Time within which an evacuation must be in force; no evacuations by default. */
   evacuationDelayMs?: number;
+  /** Share of late streams above which engines run less at once; no such limits by default. */
+  concurrencyLateShare?: number;
 }
 
 /** Starts a host with a store; use `isHostReady` to wait until it serves requests. */
@@ -203,6 +205,7 @@
     paceWeight: 1,
     othersWeight: 1,
     backlogWeight: 1,
+    concurrencyLateShare: options.concurrencyLateShare ?? 0,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
--- a/tests/support/replayEngines.ts
+++ b/tests/support/replayEngines.ts
@@ -25,6 +25,8 @@
   arrivedAtMs: number;
   startedAtMs: number;
   promptTokens: number;
+  /** Tokens of memory once it runs, without its output. */
+  heldTokens: number;
   outputTokens: number;
   produced: number;
   lastEventAtMs: number;
@@ -40,6 +42,8 @@
   waiting: ReplayedRequest[];
   running: ReplayedRequest[];
   sample: PaceSample;
+  memoryTokens: number;
+  preemptions: number;
   /** Streams and late ones since the last update. */
   recent: { streams: number; late: number };
 }
@@ -52,6 +56,7 @@
   refused: number;
   prompts: number;
   latePrompts: number;
+  preemptions: number;
 }
 
 /** Options of the replay. */
@@ -61,6 +66,8 @@
   streamsPerSecond: number;
   promptsPerSecond: number;
   seconds?: number;
+  /** Memory of each engine; enough for all requests by default. */
+  memoryTokens?: number;
   /** Computes the paces that count, from the samples by engine, once a second. */
   computePaces: (samples: ReadonlyMap<string, PaceSample>) => ReadonlyMap<string, ServerPace>;
   /** Called once a second, after the paces. */
@@ -71,17 +78,38 @@
   hasQueue?: boolean;
 }
 
+/** Counts the tokens of memory that the running requests of an engine hold. */
+export function countHeldTokens({ running }: ReplayedEngine): number {
+  return running.reduce((sum, { heldTokens, produced }) => sum + heldTokens + produced, 0);
+}
+
+/** Takes the newest requests out of the batch of an engine whose memory has run out. */
+function evictNewest(engine: ReplayedEngine): void {
+  while (engine.running.length > 1 && countHeldTokens(engine) > engine.memoryTokens) {
+    const newest = engine.running.pop();
+    if (newest === undefined) return;
+    newest.promptTokens = newest.heldTokens + newest.produced;
+    engine.waiting.unshift(newest);
+    engine.preemptions += 1;
+  }
+}
+
 /** Runs one step of an engine; calls back with each request that ends. */
 function runStep(engine: ReplayedEngine, onEnd: (request: ReplayedRequest) => void): void {
+  evictNewest(engine);
   let chunk = CHUNK_TOKENS;
+  let freeTokens = engine.memoryTokens - countHeldTokens(engine);
   const streams = [...engine.running];
   while (chunk > 0 && engine.waiting[0] !== undefined && engine.running.length < 32) {
     const next = engine.waiting[0];
+    const neededTokens = next.heldTokens + next.produced;
+    if (engine.running.length > 0 && neededTokens > freeTokens) break;
     const tokens = Math.min(chunk, next.promptTokens);
     next.promptTokens -= tokens;
     chunk -= tokens;
     if (next.promptTokens > 0) break;
     engine.waiting.shift();
+    freeTokens -= neededTokens;
     engine.running.push(next);
   }
   const workMs = (CHUNK_TOKENS - chunk) / TOKENS_PER_MS + STEP_MS_PER_STREAM * streams.length;
@@ -108,8 +136,11 @@
     slots: 32,
     backlogTokens: engine.waiting.reduce((sum, { promptTokens }) => sum + promptTokens, 0),
     urgentBacklogTokens: 0,
-    reservedTokens: 0,
-    memoryTokens: 1_000_000,
+    reservedTokens: [...engine.running, ...engine.waiting].reduce(
+      (sum, { heldTokens, outputTokens }) => sum + heldTokens + outputTokens,
+      0,
+    ),
+    memoryTokens: engine.memoryTokens,
     cachedTokens: 0,
     holdsAdapter: true,
     isInLocalDataCentre: true,
@@ -136,10 +167,13 @@
     refused: 0,
     prompts: 0,
     latePrompts: 0,
+    preemptions: 0,
   };
   const engines = speeds.map((speed, index): ReplayedEngine => {
     const recent = { streams: 0, late: 0 };
-    const common = { speed, nowMs: 0, waiting: [], running: [], recent };
+    const { memoryTokens = 1_000_000 } = options;
+    const load = { nowMs: 0, waiting: [], running: [], recent, preemptions: 0 };
+    const common = { speed, memoryTokens, ...load };
     return { id: `e${index}`, ...common, sample: EMPTY_PACE_SAMPLE };
   });
   let paces: ReadonlyMap<string, ServerPace> = new Map();
@@ -222,11 +256,14 @@
     advance(nowMs);
     resumeQueued(nowMs);
     const isStream = random() * perSecond < streamsPerSecond;
+    // Half of the prompts find their shared part cached.
+    const promptTokens = isStream ? 300 : 2890 + (random() < 0.5 ? 6300 : 0);
     const request: ReplayedRequest = {
       isStream,
       arrivedAtMs: nowMs,
       startedAtMs: nowMs,
-      promptTokens: isStream ? 300 : 2890 + (random() < 0.5 ? 6300 : 0), // half have the shared part cached
+      promptTokens,
+      heldTokens: promptTokens,
       outputTokens: isStream ? 49 * STRIDE : 20 * STRIDE,
       produced: 0,
       lastEventAtMs: 0,
@@ -237,5 +274,6 @@
     if (options.hasQueue === true) queued.push(request);
     else result.refused += 1;
   }
+  result.preemptions = engines.reduce((sum, { preemptions }) => sum + preemptions, 0);
   return result;
 }
