--- a/src/serving/createFleetMember/_lib/collectReport.ts
+++ b/src/serving/createFleetMember/_lib/collectReport.ts
@@ -15,6 +15,7 @@
   | 'serverNotices'
   | 'serverPaces'
   | 'admission'
+  | 'concurrency'
   | 'rateLimiter'
 > {
   /** Number of the report since the start of the host. */
@@ -49,6 +50,7 @@
     cold: encodeColdTimes(serverNotices.takeChangedColdTimes(), nowMs),
     paces: encodePaceSamples(sources.serverPaces.takeSamples()),
     admission: sources.admission.takeSamples(),
+    concurrency: sources.concurrency.takeReport(),
     ...sources.crashes,
   };
 }
--- a/src/serving/createFleetMember/types.ts
+++ b/src/serving/createFleetMember/types.ts
@@ -7,6 +7,7 @@
 import type { ServiceRetryBudget } from '../createServiceRetryBudget/index.js';
 import type { ServerNotices } from '../createServerNotices/index.js';
 import type { AdmissionControl } from '../createAdmissionControl/index.js';
+import type { ConcurrencyLimits } from '../createConcurrencyLimits/index.js';
 import type { ServerPaces } from '../createServerPaces/index.js';
 import type { ServerRegistry } from '../createServerRegistry/index.js';
 import type { Evacuations } from '../createEvacuations/index.js';
@@ -67,6 +68,7 @@
   serverRegistry: ServerRegistry;
   serverNotices: ServerNotices;
   serverPaces: ServerPaces;
+  concurrency: ConcurrencyLimits;
   load: LoadOptions;
   admission: AdmissionControl;
   rateLimiter: OrganisationRateLimiter;
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { admissionLevelsSchema, admissionSamplesSchema } from './admissionMessages.js';
+import { concurrencyReportSchema, concurrencyViewSchema } from './concurrencyMessages.js';
 import { paceSamplesSchema, serverPacesSchema } from './paceMessages.js';
 
 /** Longest name of a server, model, adapter or data centre in a message. */
@@ -123,6 +124,8 @@
     paces: paceSamplesSchema.default({}),
     /** What callers asked this host for since its last report; absent in older versions. */
     admission: admissionSamplesSchema.optional(),
+    /** For the limits of what servers run at once; absent in older versions, and where they are off. */
+    concurrency: concurrencyReportSchema.optional(),
   }),
   /** Aggregated state of the fleet that the leader sends to each host every round. */
   z.object({
@@ -173,6 +176,8 @@
     paceExcesses: serverPacesSchema.optional(),
     /** Admission levels by service; absent in older versions and where there are none. */
     admission: admissionLevelsSchema.optional(),
+    /** What servers may run at once; absent in older versions, and where these limits are off. */
+    concurrency: concurrencyViewSchema.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -10,4 +10,6 @@
   maximumRefusedShare: number;
   /** Part of what is refused that falls first on organisations above their share. */
   fairWeight: number;
+  /** Share of late streams above which an engine runs fewer requests at once. */
+  concurrencyLateShare: number;
 }
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -1,12 +1,8 @@
-import {
-  computeBacklogUtilisation,
-  findShortestTargetMs,
-} from '../../decisions/replicas/computeBacklogUtilisation/index.js';
 import { mayPlanMoves } from '../../decisions/replicas/mayPlanMoves/index.js';
 import type { BackendServer, EnginePool, ServingConfiguration } from '../../ports/serving.js';
 import { createFleetTokenBuckets } from '../createFleetTokenBuckets/index.js';
 import { createEngineController, type EngineController } from '../createEngineController/index.js';
-import type { FleetReport, FleetView } from '../fleetMessages.js';
+import type { FleetReport } from '../fleetMessages.js';
 import { createReplicaScheduler } from './_lib/createReplicaScheduler.js';
 import { createModelDemandMeter } from './_lib/createModelDemandMeter.js';
 import { createPartQuarantine } from '../createPartQuarantine/index.js';
@@ -16,8 +12,10 @@
   createSentServers,
   type SentServers,
 } from './_lib/collectServerChanges.js';
+import { createServerLoads } from './_lib/createServerLoads.js';
 import { createRequestSchedules } from './_lib/createRequestSchedules.js';
 import { createAdmissionLevels } from './_lib/createAdmissionLevels.js';
+import { createConcurrencyMeter } from './_lib/createConcurrencyMeter.js';
 import { createPaceMeter } from './_lib/createPaceMeter.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
@@ -101,27 +99,16 @@
       pool,
     });
   };
+  const concurrency = createConcurrencyMeter({
+    clock,
+    lateShare: options.load.concurrencyLateShare,
+    knownLimits: options.concurrency.listLimits(),
+    findPool,
+  });
   const updateControllers = (): void =>
     syncControllers(controllers, { servers, findPool, createController });
 
-  /** Loads of all hosts together as of the last view, by server. */
-  let loads: FleetView['loads'] = {};
-  const measureUtilisation = (
-    { id, slots }: BackendServer,
-    { memoryTokens }: EnginePool,
-  ): number => {
-    const [active = 0, , reserved = 0] = loads[id] ?? [];
-    return Math.max(active / slots, reserved / Math.max(1, memoryTokens));
-  };
-
-  /** Shortest latency targets of the services with engines, in milliseconds. */
-  let shortestTargetsMs: ReadonlyMap<string, number> = new Map();
-  const measureBacklog = ({ id, service }: BackendServer): number => {
-    const [, backlogTokens = 0] = loads[id] ?? [];
-    const targetMs = shortestTargetsMs.get(service) ?? Infinity;
-    return options.load.backlogWeight * computeBacklogUtilisation(backlogTokens, targetMs);
-  };
-
+  const serverLoads = createServerLoads(options.load.backlogWeight);
   const replicas = createReplicaScheduler({
     clock,
     log,
@@ -130,8 +117,8 @@
     demand,
     isInUse,
     isUnreachable: faults.isUnreachable,
-    measureUtilisation,
-    measureBacklog,
+    measureUtilisation: serverLoads.measureUtilisation,
+    measureBacklog: serverLoads.measureBacklog,
     getRequestLimit: options.serverNotices.getRequestLimit,
     getSlowShare: (server) => options.load.paceWeight * paces.findExcessShare(server),
     getColdMs: options.serverNotices.getColdMs,
@@ -162,9 +149,7 @@
   return {
     setConfiguration: (next) => {
       configuration = next;
-      shortestTargetsMs = new Map(
-        [...next.services.keys()].map((name) => [name, findShortestTargetMs(next.routes, name)]),
-      );
+      serverLoads.setConfiguration(next);
       admissionLevels.setConfiguration(next);
       buckets.setOrganisations([...(next.organisationsByKey?.values() ?? [])]);
       updateControllers();
@@ -184,6 +169,7 @@
       quarantine.recordReport(report);
       paces.record(report.paces);
       admissionLevels.record(report.admission ?? {});
+      concurrency.record(report);
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -219,7 +205,8 @@
     },
     prepareViews: (hostCount, isCurrent) => {
       const reports = listCurrentHosts().map(({ report }) => report);
-      loads = addLoads(reports);
+      const loads = addLoads(reports);
+      serverLoads.setLoads(loads);
       const admission = admissionLevels.update(servers, loads);
       const suspects = faults.updateSuspects(reports);
       const adapters = [...controllers].map(([id, controller]) => {
@@ -236,6 +223,7 @@
       const serversAgeMs = Number.isFinite(ageMs) ? ageMs : undefined;
       limitFeed.update();
       paces.update(servers);
+      concurrency.update(reports, loads, servers);
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
       return (host) => {
@@ -260,6 +248,7 @@
           limits: limitFeed.takeLimits(host),
           ...paces.takePaces(host),
           admission,
+          concurrency: concurrency.takeView(host),
           evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
--- a/src/serving/startFleetLeader/types.ts
+++ b/src/serving/startFleetLeader/types.ts
@@ -2,6 +2,7 @@
 import type { Log } from '../../ports/log.js';
 import type { ModelOrderClient } from '../../ports/modelOrderClient.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { ConcurrencyLimits } from '../createConcurrencyLimits/index.js';
 import type { Evacuations } from '../createEvacuations/index.js';
 import type { ListAge } from '../createListAge/index.js';
 import type { AdmissionControl } from '../createAdmissionControl/index.js';
@@ -40,6 +41,8 @@
   load: LoadOptions;
   /** The admission levels as this host last knew them. */
   admission: Pick<AdmissionControl, 'getKeptLevels'>;
+  /** Limits of what servers run at once as this host knows them. */
+  concurrency: Pick<ConcurrencyLimits, 'listLimits'>;
   /** Age of this host's list of servers. */
   listAge: Pick<ListAge, 'getAgeMs'>;
   /** Levels of the organisations' token buckets as this host last knew them. */
