Drop what the body reader keeps of a request that has been read

Cause: the listeners for errors and closes stayed on each request and referred to its body and chunks.

The reader now removes its listeners and drops the buffer when a body has been read or refused, for the OpenAI entry and the platform alike. A test checks the listeners.

--- a/bench/benchmarks.ts
+++ b/bench/benchmarks.ts
@@ -1,4 +1,6 @@
+import { computePercentiles } from '#dist/load/summariseRun/index.js';
 import { formatTable } from '#dist/programs/operator/_lib/output.js';
+import { measureBodyCost, type BodyCostRow } from './bodyCost.js';
 import { measureControlCost, type ControlRow } from './controlCost.js';
 import { measureRequestPathCost, type RequestPathCost } from './requestPathCost.js';
 import { measurePlacement, type PlacementRow } from './placement.js';
@@ -109,6 +111,18 @@
   );
 }
 
+function renderBodyCost(rows: BodyCostRow[]): string {
+  return formatTable(
+    ['BUILD', 'BODY', 'MEDIAN CPU', 'CPU OF EACH ROUND'],
+    rows.map(({ build, bodyBytes, cpuMicroseconds }) => [
+      build,
+      `${bodyBytes} bytes`,
+      `${computePercentiles(cpuMicroseconds).p50.toFixed(0)} us`,
+      cpuMicroseconds.map((microseconds) => microseconds.toFixed(0)).join(' '),
+    ]),
+  );
+}
+
 /** All benchmarks by the name that selects them on the command line. */
 export const benchmarks: Record<string, Benchmark> = {
   wrongful: buildBenchmark(
@@ -127,4 +141,9 @@
     measureControlCost,
     renderControlCost,
   ),
+  bodies: buildBenchmark(
+    '6. Processor time of an entry host for requests with bodies',
+    measureBodyCost,
+    renderBodyCost,
+  ),
 };
--- a/src/adapters/callerHttp/createClientGuard/_lib/createBodyBuffer.ts
+++ b/src/adapters/callerHttp/createClientGuard/_lib/createBodyBuffer.ts
@@ -1,11 +1,14 @@
 const MIN_SEGMENT_BYTES = 4096;
 const MAX_SEGMENT_BYTES = 65_536;
+const EMPTY = Buffer.alloc(0);
 
 /** Collects the chunks of a body. */
 export interface BodyBuffer {
   add: (chunk: Buffer) => void;
-  /** Returns the whole body; a body of one chunk is not copied. */
+  /** Returns the whole body and drops the chunks; a body of one chunk is not copied. */
   finish: () => Buffer;
+  /** Drops the chunks. */
+  drop: () => void;
 }
 
 /**
@@ -17,8 +20,8 @@
   let first: Buffer | undefined;
   let whole: Buffer | undefined;
   let length = 0;
-  const parts: Buffer[] = [];
-  let segment = Buffer.alloc(0);
+  let parts: Buffer[] = [];
+  let segment = EMPTY;
   let filled = 0;
   let segmentBytes = MIN_SEGMENT_BYTES;
 
@@ -45,6 +48,19 @@
     if (whole === undefined) addToSegments(chunk);
     else chunk.copy(whole, length);
   };
+  const joinChunks = (): Buffer => {
+    if (first !== undefined) return first;
+    if (whole !== undefined) return whole;
+    endPart();
+    return parts.length === 1 && parts[0] !== undefined ? parts[0] : Buffer.concat(parts, length);
+  };
+  const drop = (): void => {
+    first = undefined;
+    whole = undefined;
+    parts = [];
+    segment = EMPTY;
+    filled = 0;
+  };
   return {
     add: (chunk) => {
       if (length === 0) first = chunk;
@@ -60,10 +76,10 @@
       length += chunk.length;
     },
     finish: () => {
-      if (first !== undefined) return first;
-      if (whole !== undefined) return whole;
-      endPart();
-      return parts.length === 1 && parts[0] !== undefined ? parts[0] : Buffer.concat(parts, length);
+      const body = joinChunks();
+      drop();
+      return body;
     },
+    drop,
   };
 }
--- a/src/adapters/callerHttp/createClientGuard/_lib/createBodyReader.ts
+++ b/src/adapters/callerHttp/createClientGuard/_lib/createBodyReader.ts
@@ -130,7 +130,13 @@
           const wasOpen = receiving.delete(body) || waiting.delete(body);
           if (!wasOpen) return;
           if (isFragmented) fragmentedBodies -= 1;
+          // What a listener or the buffer still refers to outlives many requests: it is moved to the old
+          // generation of the heap, whose collections then cost up to 40 % of the time of a request.
           incoming.off('data', handleChunk);
+          incoming.off('end', handleEnd);
+          incoming.off('error', handleCut);
+          incoming.off('close', handleCut);
+          buffer.drop();
           const heldBytes = Buffer.isBuffer(result) ? result.length : 0;
           budget.release(reservation, overheadBytes + heldBytes);
           resolve(result);
@@ -177,13 +183,15 @@
         const isWaiting = body.wantedBytes > 0;
         if (body.receivedBytes > body.reservedBytes && !isWaiting) reserveRest();
       };
+      const handleEnd = (): void => body.finish(buffer.finish());
+      const handleCut = (): void => body.finish(BodyFailure.cut);
       receiving.add(body);
       incoming.on('data', handleChunk);
       if (mayWait) startWaiting();
-      incoming.once('end', () => body.finish(buffer.finish()));
+      incoming.on('end', handleEnd);
       // An error tells that the client disconnected, and so does a close before the end.
-      incoming.once('error', () => body.finish(BodyFailure.cut));
-      incoming.once('close', () => body.finish(BodyFailure.cut));
+      incoming.on('error', handleCut);
+      incoming.on('close', handleCut);
     });
   };
 
--- a/src/adapters/callerHttp/createClientGuard/test.ts
+++ b/src/adapters/callerHttp/createClientGuard/test.ts
@@ -138,6 +138,21 @@
   t.equal(await stopped.body, BodyFailure.tooSlow);
 });
 
+// Guards against bodies that listeners keep alive after they were read, at 25 to 40 % of the time of a request.
+t.test('leaves no listener on a request whose body has been read or refused', async (t) => {
+  const { open } = createReader();
+  const read = open(chunked);
+  const refused = open(chunked, 2);
+  const events = ['data', 'end', 'error', 'close'];
+  const count = ({ incoming }: typeof read) => events.map((event) => incoming.listenerCount(event));
+  const countBefore = count({ ...read, incoming: new IncomingMessage(new Socket()) });
+  for (const { incoming } of [read, refused]) incoming.push(Buffer.from('abc'));
+  read.incoming.push(null);
+  t.equal((await read.body).toString(), 'abc');
+  t.equal(await refused.body, BodyFailure.tooLarge);
+  t.strictSame([count(read), count(refused)], [countBefore, countBefore]);
+});
+
 // Guards against bodies that are ended although the host itself did not read them.
 t.test('does not count the time in which the process was paused', async (t) => {
   const { open, pause, pass } = createReader();
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -25,7 +25,7 @@
   peerPort: number;
 }
 
-/** Options of a fleet; `entries`, `placements`, `engines` and `plainServers` are counts. */
+/** Options of a fleet; `entries` to `plainServers` are counts, `entryScript` is relative to `dist`. */
 export interface FleetOptions {
   entries?: number;
   placements?: number;
@@ -34,6 +34,7 @@
   bundle?: Partial<Bundle>;
   organisations?: Partial<Organisation>[];
   entryFlags?: readonly string[];
+  entryScript?: string;
   placementFlags?: readonly string[];
   engineOptions?: Partial<EngineStandinOptions>;
   platformOptions?: PlatformOptions;
@@ -152,7 +153,8 @@
       const portArgs = ['--caller-port', '0', '--peer-port', '0', '--operator-port', '0'];
       const ownArgs = ['--address', '127.0.0.1', '--peer-secret', PEER_SECRET, '--drain-ms', '100'];
       const args = [...buildCommonArgs(id), ...portArgs, ...ownArgs, '--host-list-poll-ms', '200'];
-      const process = startProcess(id, 'programs/entry/main.js', mergeFlags(args, flags));
+      const script = options.entryScript ?? 'programs/entry/main.js';
+      const process = startProcess(id, script, mergeFlags(args, flags));
       const listeningLine = await process.waitForLine(({ msg }) => msg === 'listening');
       const peerPort = Number(listeningLine.peerPort);
       const entry = {
