Let estimates of prefix caches age, and hosts tell what they send

An estimate forgot a prompt part 8 s after this host had sent it, whatever the engine had processed since, and a host knew nothing of what others had sent: one of 70 hosts sends the same prefix about once a minute.

With cache-aging, the probability that an engine still holds a part falls with the tokens that it has processed since, as far as the backlogs in views tell, relative to its memory. With prefix-reports, reports name the prompt parts of the requests since the last one by 32-bit hashes, and views pass on those of the other hosts. Both are 0, off, by default, and count for routes that declare a longest pause. The entries of the server registry moved to a module of their own.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -57,6 +57,7 @@
     clock,
     log,
     paces: serverPaces,
+    prefixes: load,
     dataCentre: options.dataCentre,
     isEvacuated: evacuations.isEvacuated,
     getWaitMs: (id) =>
--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -1,5 +1,6 @@
 import { parseNumber } from '../settings/index.js';
 
+const parseShare = parseNumber(0, 1);
 const parseWeight = parseNumber(0, 10);
 
 /** Settings of the decisions for heavy load. Each has no effect by default. */
@@ -11,7 +12,7 @@
       'How much it counts in choices and plans that the streams of an engine pause for longer than their routes accept; 0 for nothing.',
     fallback: '0',
     unit: 'number',
-    parse: parseNumber(0, 1),
+    parse: parseShare,
   },
   othersWeight: {
     flag: 'others-weight',
@@ -31,4 +32,22 @@
     unit: 'number',
     parse: parseWeight,
   },
+  cacheAging: {
+    flag: 'cache-aging',
+    variable: 'BRONZELANDING_CACHE_AGING',
+    description:
+      'How far an estimated prefix cache ages with what its engine has processed instead of after 8 s, for routes that declare a longest pause; 0 for not at all.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseShare,
+  },
+  prefixReports: {
+    flag: 'prefix-reports',
+    variable: 'BRONZELANDING_PREFIX_REPORTS',
+    description:
+      'Uses of prompt parts that a host tells the others in a round at most, for estimates of prefix caches; 0 for none.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseNumber(0, 1024),
+  },
 } as const;
--- a/src/serving/createFleetMember/_lib/collectReport.ts
+++ b/src/serving/createFleetMember/_lib/collectReport.ts
@@ -47,6 +47,7 @@
     limits: encodeRequestLimits(serverNotices.takeChangedLimits(), nowMs),
     cold: encodeColdTimes(serverNotices.takeChangedColdTimes(), nowMs),
     paces: encodePaceSamples(sources.serverPaces.takeSamples()),
+    prefixUses: serverRegistry.takePrefixUses(),
     ...sources.crashes,
   };
 }
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -97,6 +97,7 @@
     const nowMs = clock.monotonicMs();
     feeds.recordView(view);
     serverRegistry.setRemoteLoads(computeOtherHostsLoads(view));
+    serverRegistry.recordRemoteUses(view.prefixUses ?? {});
     serverRegistry.updateAdapters(
       new Map(Object.entries(view.adapters).map(([server, list]) => [server, new Set(list)])),
     );
--- a/src/serving/createServerRegistry/_lib/createPrefixCacheEstimate.ts
+++ b/src/serving/createServerRegistry/_lib/createPrefixCacheEstimate.ts
@@ -8,7 +8,8 @@
   countCachedTokens: (parts: readonly SharedPromptPart[], nowMs: number) => number;
 }
 
-const RETENTION_MS = 8000; // a busy engine fills its memory with new tokens in about ten seconds
+/** Time for which a part counts as cached after its last use. */
+export const RETENTION_MS = 8000; // a busy engine fills its memory with new tokens in about ten seconds
 const MAX_PARTS = 1000; // bounds the memory used per server
 
 /** Creates the estimate for a server with an empty prefix cache. */
--- a/src/serving/createServerRegistry/index.ts
+++ b/src/serving/createServerRegistry/index.ts
@@ -2,21 +2,26 @@
 import type { ServerCandidate } from '../../decisions/serving/types.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Log } from '../../ports/log.js';
-import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { ServingConfiguration } from '../../ports/serving.js';
 import type { ServerPaces } from '../createServerPaces/index.js';
+import { hashPart, hashParts } from '../../decisions/prefixCache/hashPart/index.js';
+import { createPrefixUses } from '../createPrefixUses/index.js';
 import {
-  createPrefixCacheEstimate,
-  type PrefixCacheEstimate,
-} from './_lib/createPrefixCacheEstimate.js';
+  countCachedTokens,
+  createEntry,
+  NO_LOAD,
+  recordCacheLoad,
+  recordProcessed,
+  type Entry,
+  type PrefixCacheOptions,
+} from './_lib/entry.js';
 import {
   computeFailureRate,
   computeOrdinaryDelay,
-  createServerHealth,
   isSilent,
   isUnreachable,
   recordFirstByteDelay,
   recordOutcome,
-  type ServerHealth,
 } from './_lib/serverHealth.js';
 import type { ListCandidatesOptions, ServerLoad, ServerRegistry } from './types.js';
 
@@ -25,25 +30,6 @@
 
 const MISSING_MODEL_EXPIRY_MS = 1500; // a newer report of the engine has arrived by then
 const OVERRIDE_EXPIRY_MS = 2000; // the engine has reported its adapters again by then
-/** A server with its state on this host. */
-interface Entry {
-  server: BackendServer;
-  load: ServerLoad;
-  remoteLoad: ServerLoad;
-  health: ServerHealth;
-  /** Adapter states that override those last reported by the leader, with their expiry. */
-  overrides: Map<string, { isLoaded: boolean; untilMs: number }>;
-  missingModels: Map<string, number>;
-  prefixCache: PrefixCacheEstimate;
-}
-
-const NO_LOAD: ServerLoad = {
-  active: 0,
-  backlogTokens: 0,
-  reservedTokens: 0,
-  urgentBacklogTokens: 0,
-};
-
 /** Creates the server registry of this host. */
 export function createServerRegistry(options: {
   clock: Clock;
@@ -56,9 +42,12 @@
   /** Milliseconds until this host counts a server as warm, by incarnation; 0 by default. */
   getColdMs?: (incarnation: string) => number;
   paces: Pick<ServerPaces, 'recordFirstByteDelay' | 'getSlowShare' | 'getLatencyRatio'>;
+  /** How prefix caches are estimated; as without the settings for it by default. */
+  prefixes?: PrefixCacheOptions;
 }): ServerRegistry {
   const { clock, log, dataCentre, getWaitMs, paces } = options;
-  const { isEvacuated = () => false, getColdMs = () => 0 } = options;
+  const { isEvacuated = () => false, getColdMs = () => 0, prefixes = {} } = options;
+  const prefixUses = createPrefixUses({ clock, maximumReported: prefixes.prefixReports });
   const entries = new Map<string, Entry>();
   let remoteLoads: ReadonlyMap<string, ServerLoad> = new Map();
   let hostCount = DEFAULT_HOST_COUNT;
@@ -67,16 +56,6 @@
   let unloadingModels: ReadonlySet<string> = new Set();
   let suspects: ReadonlySet<string> = new Set();
 
-  const createEntry = (server: BackendServer): Entry => ({
-    server,
-    load: { ...NO_LOAD },
-    remoteLoad: remoteLoads.get(server.id) ?? NO_LOAD,
-    health: createServerHealth(clock.monotonicMs()),
-    overrides: new Map(),
-    missingModels: new Map(),
-    prefixCache: createPrefixCacheEstimate(),
-  });
-
   const holdsModel = (entry: Entry, model: string, nowMs: number): boolean => {
     if ((entry.missingModels.get(model) ?? -Infinity) > nowMs) return false;
     if (unloadingModels.has(`${entry.server.id}/${model}`)) return false;
@@ -104,6 +83,7 @@
   ): ServerCandidate => {
     const { server, load } = entry;
     const engines = configuration?.services.get(server.service)?.engines;
+    const latencyRatio = findLatencyRatio(entry);
     return {
       id: server.id,
       active: load.active + entry.remoteLoad.active,
@@ -116,11 +96,16 @@
         query.model === undefined ||
         query.adapter === undefined ||
         holdsAdapter(entry, query.model, query.adapter),
-      cachedTokens: entry.prefixCache.countCachedTokens(query.sharedParts ?? [], nowMs),
+      cachedTokens: countCachedTokens(entry, query, {
+        nowMs,
+        memoryTokens: engines?.memoryTokens ?? 0,
+        latencyRatio,
+        ...prefixes,
+      }),
       isInLocalDataCentre: server.dataCentre === dataCentre,
       failureRate: computeFailureRate(entry.health, nowMs),
       serviceTimeMs: entry.health.serviceTimeMs,
-      latencyRatio: findLatencyRatio(entry),
+      latencyRatio,
       slowShare: paces.getSlowShare(server.id),
       waitMs: getWaitMs(server.incarnation),
       coldMs: getColdMs(server.incarnation),
@@ -148,7 +133,8 @@
         }
         // A restarted engine holds nothing of what was known of its previous process.
         if (entry !== undefined) adaptersByServer.delete(id);
-        entries.set(id, createEntry(server));
+        const remoteLoad = remoteLoads.get(id) ?? NO_LOAD;
+        entries.set(id, createEntry(server, { remoteLoad, nowMs: clock.monotonicMs(), prefixes }));
       }
     },
     setConfiguration: (next) => {
@@ -156,8 +142,22 @@
     },
     setRemoteLoads: (loads) => {
       remoteLoads = loads;
-      for (const [id, entry] of entries) entry.remoteLoad = loads.get(id) ?? NO_LOAD;
+      const nowMs = clock.monotonicMs();
+      for (const [id, entry] of entries) {
+        entry.remoteLoad = loads.get(id) ?? NO_LOAD;
+        recordCacheLoad(entry, findLatencyRatio(entry), nowMs);
+      }
+    },
+    recordRemoteUses: (uses) => {
+      const nowMs = clock.monotonicMs();
+      for (const [id, hashes] of Object.entries(uses)) {
+        prefixUses.recordRemote(hashes);
+        entries.get(id)?.agedCache?.recordUses(hashes, nowMs);
+      }
     },
+    takePrefixUses: () => prefixUses.takeOwn(),
+    getPrefixRate: (key) => prefixUses.getRate(hashPart(key)),
+    getUsesAgeMs: () => prefixUses.getRemoteAgeMs(),
     setHostCount: (count) => {
       hostCount = count;
     },
@@ -239,6 +239,7 @@
       if (isUrgent) load.urgentBacklogTokens += backlogTokens;
       load.reservedTokens += reservedTokens;
       const latencyRatio = findLatencyRatio(entry);
+      if (entry.agedCache !== undefined) prefixUses.recordOwn(id, hashParts(sharedParts));
       let isInBacklog = true;
       const leaveBacklog = (): void => {
         if (!isInBacklog) return;
@@ -252,8 +253,8 @@
         },
         recordFirstBytes: () => {
           leaveBacklog();
-          entry.prefixCache.record(sharedParts, clock.monotonicMs());
           const nowMs = clock.monotonicMs();
+          recordProcessed(entry, sharedParts, nowMs);
           const elapsedMs = nowMs - startedAtMs;
           // What a cold server takes says nothing of its speed once it is warm.
           if (isCold) {
--- a/src/serving/createServerRegistry/types.ts
+++ b/src/serving/createServerRegistry/types.ts
@@ -1,5 +1,6 @@
 import type { ServerCandidate, SharedPromptPart } from '../../decisions/serving/types.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
+import type { SentPrefixUses } from '../prefixMessages.js';
 import type { ServerOutcome } from './_lib/serverHealth.js';
 
 /** Load on a server: requests in flight, unprocessed prompt tokens, and tokens held in memory. */
@@ -37,6 +38,14 @@
   setServers: (servers: ReadonlyMap<string, BackendServer>) => void;
   setConfiguration: (configuration: ServingConfiguration) => void;
   setRemoteLoads: (loads: ReadonlyMap<string, ServerLoad>) => void;
+  /** Records prompt parts of requests that other hosts have sent lately. */
+  recordRemoteUses: (uses: SentPrefixUses) => void;
+  /** Returns the prompt parts of this host's requests since the last call; undefined without any. */
+  takePrefixUses: () => SentPrefixUses | undefined;
+  /** Estimates the requests with a prompt part in a millisecond, from all known hosts. */
+  getPrefixRate: (key: string) => number;
+  /** Milliseconds since this host last learned of uses by other hosts; Infinity before. */
+  getUsesAgeMs: () => number;
   /** Sets the number of hosts that send requests to the servers; until then there may be hundreds. */
   setHostCount: (count: number) => void;
   getHostCount: () => number;
@@ -74,4 +83,6 @@
   adapter?: string;
   excluded?: ReadonlySet<string>;
   sharedParts?: readonly SharedPromptPart[];
+  /** Whether the caller accepts pauses up to a limit only; false by default. */
+  hasPauseTarget?: boolean;
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { paceSamplesSchema, serverPacesSchema } from './paceMessages.js';
+import { prefixUsesSchema } from './prefixMessages.js';
 
 /** Longest name of a server, model, adapter or data centre in a message. */
 export const MAX_NAME_LENGTH = 256;
@@ -120,6 +121,8 @@
     servedParts: z.array(z.tuple([name, z.number()])).default([]),
     /** What this host measured of the responses of servers since its last report. */
     paces: paceSamplesSchema.default({}),
+    /** Prompt parts of requests since the last report; absent without `prefix-reports`. */
+    prefixUses: prefixUsesSchema.optional(),
   }),
   /** Aggregated state of the fleet that the leader sends to each host every round. */
   z.object({
@@ -166,6 +169,8 @@
     evacuations: evacuations.optional(),
     /** Paces of all servers; only when they were computed anew since the last view. */
     paces: serverPacesSchema.optional(),
+    /** Prompt parts of requests from other hosts since the last view; absent without any. */
+    prefixUses: prefixUsesSchema.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -6,4 +6,8 @@
   othersWeight: number;
   /** How much prompts that wait at an engine count in the plan of replicas. */
   backlogWeight: number;
+  /** How far cached prompt parts age with what an engine has processed, instead of after a fixed time. */
+  cacheAging: number;
+  /** Uses of prompt parts that a host reports to the others in a round at most. */
+  prefixReports: number;
 }
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -29,13 +29,14 @@
 function rankCandidates(state: RequestState): RankedServer[] {
   const { context, request, routed, excludedServers } = state;
   const { service, model, adapter } = request;
-  const { sharedParts } = routed;
+  const { sharedParts, hasPauseTarget = false } = routed;
   const candidates = context.serverRegistry.listCandidates({
     service,
     model,
     adapter,
     excluded: excludedServers,
     sharedParts,
+    hasPauseTarget,
   });
   state.serversAgeMs = context.getServersAgeMs();
   state.evacuated = context.serverRegistry.listEvacuated({ service, model });
@@ -44,7 +45,7 @@
   return rankAcceptableFirst(
     rankServers(candidates, routed, context.random, {
       spread,
-      othersWeight: routed.hasPauseTarget === true ? context.load.othersWeight : 0,
+      ...(hasPauseTarget ? context.load : {}),
     }),
     computeMaximumDelayMs(request, computeRemainingMs(state)),
   );
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -18,6 +18,7 @@
 } from './_lib/collectServerChanges.js';
 import { createRequestSchedules } from './_lib/createRequestSchedules.js';
 import { createPaceMeter } from './_lib/createPaceMeter.js';
+import { createPrefixRelay } from './_lib/createPrefixRelay.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
 import { syncControllers } from './_lib/syncControllers.js';
@@ -62,6 +63,7 @@
   });
   const limitFeed = createLimitFeed({ clock, getLimits: options.serverNotices.getLimits });
   const paces = createPaceMeter(clock);
+  const prefixRelay = createPrefixRelay();
   const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
@@ -179,6 +181,7 @@
       demand.recordRequests(report.requests);
       quarantine.recordReport(report);
       paces.record(report.paces);
+      prefixRelay.record(report.host, report.prefixUses);
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -232,6 +235,7 @@
       paces.update(new Set(servers.keys()));
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
+      const findPrefixUses = prefixRelay.takeRound();
       return (host) => {
         const state = hosts.get(host);
         const changed = adapters.filter(({ id, text }) => state?.sentAdapters.get(id) !== text);
@@ -253,6 +257,7 @@
           quarantine: quarantine.takeState(host),
           limits: limitFeed.takeLimits(host),
           paces: paces.takePaces(host),
+          prefixUses: findPrefixUses(host),
           evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -203,6 +203,8 @@
     paceWeight: 1,
     othersWeight: 1,
     backlogWeight: 1,
+    cacheAging: 1,
+    prefixReports: 256,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
