--- a/src/serving/createFleetMember/_lib/collectReport.ts
+++ b/src/serving/createFleetMember/_lib/collectReport.ts
@@ -51,6 +51,7 @@
     paces: encodePaceSamples(sources.serverPaces.takeSamples()),
     admission: sources.admission.takeSamples(),
     concurrency: sources.concurrency.takeReport(),
+    prefixUses: serverRegistry.takePrefixUses(),
     ...sources.crashes,
   };
 }
--- a/src/serving/fleetMessages.ts
+++ b/src/serving/fleetMessages.ts
@@ -2,6 +2,7 @@
 import { admissionLevelsSchema, admissionSamplesSchema } from './admissionMessages.js';
 import { concurrencyReportSchema, concurrencyViewSchema } from './concurrencyMessages.js';
 import { paceSamplesSchema, serverPacesSchema } from './paceMessages.js';
+import { prefixUsesSchema } from './prefixMessages.js';
 
 /** Longest name of a server, model, adapter or data centre in a message. */
 export const MAX_NAME_LENGTH = 256;
@@ -126,6 +127,8 @@
     admission: admissionSamplesSchema.optional(),
     /** For the limits of what servers run at once; absent in older versions, and where they are off. */
     concurrency: concurrencyReportSchema.optional(),
+    /** Prompt parts of requests since the last report; absent without `prefix-reports`. */
+    prefixUses: prefixUsesSchema.optional(),
   }),
   /** Aggregated state of the fleet that the leader sends to each host every round. */
   z.object({
@@ -178,6 +181,8 @@
     admission: admissionLevelsSchema.optional(),
     /** What servers may run at once; absent in older versions, and where these limits are off. */
     concurrency: concurrencyViewSchema.optional(),
+    /** Prompt parts of requests from other hosts since the last view; absent without any. */
+    prefixUses: prefixUsesSchema.optional(),
   }),
   /** Requests an adapter on one of the given servers, in order of preference. */
   z.object({
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -12,4 +12,8 @@
   fairWeight: number;
   /** Share of late streams above which an engine runs fewer requests at once. */
   concurrencyLateShare: number;
+  /** How far cached prompt parts age with what an engine has processed, instead of after a fixed time. */
+  cacheAging: number;
+  /** Uses of prompt parts that a host reports to the others in a round at most. */
+  prefixReports: number;
 }
--- a/src/serving/startFleetLeader/index.ts
+++ b/src/serving/startFleetLeader/index.ts
@@ -17,6 +17,7 @@
 import { createAdmissionLevels } from './_lib/createAdmissionLevels.js';
 import { createConcurrencyMeter } from './_lib/createConcurrencyMeter.js';
 import { createPaceMeter } from './_lib/createPaceMeter.js';
+import { createPrefixRelay } from './_lib/createPrefixRelay.js';
 import { createLimitFeed } from './_lib/createLimitFeed.js';
 import { addLoads } from './_lib/addLoads.js';
 import { syncControllers } from './_lib/syncControllers.js';
@@ -63,6 +64,7 @@
   const paces = createPaceMeter(clock);
   const keptLevels = options.admission.getKeptLevels();
   const admissionLevels = createAdmissionLevels({ ...options, keptLevels });
+  const prefixRelay = createPrefixRelay();
   const quarantine = createPartQuarantine({ clock, log, saved: options.savedPartGroups });
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
@@ -170,6 +172,7 @@
       paces.record(report.paces);
       admissionLevels.record(report.admission ?? {});
       concurrency.record(report);
+      prefixRelay.record(report.host, report.prefixUses);
       hosts.set(report.host, {
         report,
         inUse: new Set(report.inUse),
@@ -226,6 +229,7 @@
       concurrency.update(reports, loads, servers);
       requestSchedules.setReportingFraction(reports.length / Math.max(1, hostCount));
       quarantine.update();
+      const findPrefixUses = prefixRelay.takeRound();
       return (host) => {
         const state = hosts.get(host);
         const changed = adapters.filter(({ id, text }) => state?.sentAdapters.get(id) !== text);
@@ -249,6 +253,7 @@
           ...paces.takePaces(host),
           admission,
           concurrency: concurrency.takeView(host),
+          prefixUses: findPrefixUses(host),
           evacuations,
           // A host without a report is sent no server changes and must watch the store itself.
           isCurrent: isCurrent && state !== undefined,
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -208,6 +208,8 @@
     maximumRefusedShare: 0.9,
     fairWeight: 1,
     concurrencyLateShare: options.concurrencyLateShare ?? 0,
+    cacheAging: 1,
+    prefixReports: 256,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
