--- a/src/decisions/admission/types.ts
+++ b/src/decisions/admission/types.ts
@@ -1,8 +1,8 @@
-/** A class of requests of one service: by the priority of their route, then by patience. */
+/** A class of requests of one service: by the priority of their routes, then by patience. */
 export interface AdmissionClass {
-  /** Priority of the route; 0 is the most urgent. */
+  /** Priority of the routes; 0 is the most urgent. */
   priority: number;
-  /** Latency target of the route in milliseconds. */
+  /** Latency target of the routes in milliseconds, rounded to a power of two. */
   targetMs: number;
 }
 
--- a/src/serving/serveRequest/_lib/followAdmissionLevel.ts
+++ b/src/serving/serveRequest/_lib/followAdmissionLevel.ts
@@ -1,4 +1,5 @@
 import { isCapacityFree } from '../../../decisions/admission/isCapacityFree/index.js';
+import { toAdmissionClass } from '../../../decisions/admission/toAdmissionClass/index.js';
 import type { ServingRequest } from '../../../ports/serving.js';
 import type { DemandedRequest } from '../../createAdmissionControl/index.js';
 import { AttemptOutcome, type AttemptResult } from '../../runAttempt/index.js';
@@ -10,8 +11,7 @@
   if (route.pauseTargetMs === undefined || model === undefined) return undefined;
   return {
     service,
-    priority: route.priority,
-    targetMs: route.latencyTargetMs,
+    ...toAdmissionClass(route),
     organisation: organisation?.name ?? '',
     tokens: promptTokens + maximumOutputTokens,
   };
