Price another copy of a prefix by the engines that hold it

Each fluctuation of the backlogs, and each difference between old views, sent a request to an engine without its prefix. That made another copy, evicted prefixes that no other engine held, and delayed all who waited there.

computeCopyCost adds to the score of an engine without the prefix what the copy costs others: more with each engine that holds it already, less for a prefix in high demand, so that it gets a second engine before the first one is late. The setting copy-weight is 0, off, by default, and counts for routes that declare a longest pause.

--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -1,4 +1,5 @@
 import { computeSlowStreamCost } from '../../pace/computeSlowStreamCost/index.js';
+import { computeCopyCost } from '../../prefixCache/computeCopyCost/index.js';
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
 import { PROMPT_TOKENS_PER_MS } from '../constants.js';
 import { computeColdDelayMs } from '../computeColdDelayMs/index.js';
@@ -63,13 +64,18 @@
   spread?: number;
   /** How much the delay of others counts against that of the request itself; 0 by default. */
   othersWeight?: number;
+  /** How much another copy of the prefix costs, in multiples of its prefill; 0 by default. */
+  copyWeight?: number;
+  /** Requests with the prefix in a millisecond, from all hosts together; 0 by default. */
+  prefixRequestsPerMs?: number;
 }
 
 /**
  * Ranks candidates by the estimated delay of a request, the lowest first; the order is random as far
  * as `spread` says. Requests that share a prompt prefix prefer one server, as long as its prefix cache
  * saves more than its load costs; otherwise they prefer servers that have processed parts of the
- * prefix recently. With `othersWeight`, work counts the more the more requests wait.
+ * prefix recently. With `othersWeight`, work counts the more the more requests wait; with `copyWeight`,
+ * servers without the prefix count the less the more servers hold it.
  */
 export function rankServers(
   candidates: readonly ServerCandidate[],
@@ -77,11 +83,16 @@
   random: () => number,
   options: RankServersOptions = {},
 ): RankedServer[] {
-  const { spread = 0, othersWeight = 0 } = options;
+  const { spread = 0, othersWeight = 0, copyWeight = 0 } = options;
+  const { prefixRequestsPerMs: requestsPerMs = 0 } = options;
   const { hasPauseTarget = false, sharedTokens, unsharedTokens } = request;
   const tokens = sharedTokens + unsharedTokens;
   const workWeight = computeWorkWeight(candidates, { tokens, othersWeight });
   const preferred = findPreferred(candidates, request.affinityKey);
+  // The preferred server counts as a holder, since the other hosts send requests with the prefix there.
+  const countHolders = (candidate: ServerCandidate): number =>
+    candidate === preferred ? 1 : candidate.cachedTokens / Math.max(1, sharedTokens);
+  const holders = candidates.reduce((sum, candidate) => sum + countHolders(candidate), 0);
   return candidates
     .map((candidate) => {
       const cachedTokens = candidate === preferred ? sharedTokens : candidate.cachedTokens;
@@ -95,7 +106,14 @@
       const spreadMs = -Math.log(1 - random()) * spread * costMs;
       const { slowShare = 0 } = candidate;
       const paceMs = computeSlowStreamCost({ slowShare, hasPauseTarget });
-      const scoreMs = delayMs + loadMs + paceMs + spreadMs;
+      const copyMs = computeCopyCost({
+        missingTokens: sharedTokens - cachedTokens,
+        otherHolders: holders - countHolders(candidate),
+        requestsPerMs,
+        unsharedTokens,
+        copyWeight: candidate.memoryTokens > 0 ? copyWeight : 0,
+      });
+      const scoreMs = delayMs + loadMs + paceMs + spreadMs + copyMs;
       return {
         ranked: { candidate, delayMs, scoreMs, uncachedTokens },
         load: candidate.active / candidate.slots,
--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -50,4 +50,13 @@
     unit: 'number',
     parse: parseNumber(0, 1024),
   },
+  copyWeight: {
+    flag: 'copy-weight',
+    variable: 'BRONZELANDING_COPY_WEIGHT',
+    description:
+      'How much another copy of a prompt prefix costs in the choice of an engine, in multiples of its prefill, for routes that declare a longest pause; 0 for nothing.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseWeight,
+  },
 } as const;
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -10,4 +10,6 @@
   cacheAging: number;
   /** Uses of prompt parts that a host reports to the others in a round at most. */
   prefixReports: number;
+  /** How much another copy of a prefix costs in the choice of an engine. */
+  copyWeight: number;
 }
--- a/tests/prefixCaches.test.ts
+++ b/tests/prefixCaches.test.ts
@@ -6,6 +6,7 @@
 const NONE = { othersWeight: 1 };
 const REPORTED = { ...NONE, prefixReports: 256 };
 const AGED = { ...REPORTED, cacheAging: 1 };
+const COPIES = { ...AGED, copyWeight: 2 };
 const MANY_PREFIXES = { prefixes: 60 };
 
 type Settings = Parameters<typeof replayPrefixes>[2];
@@ -26,6 +27,9 @@
   ['uses of other hosts, 20 engines', { engines: 20, prefixes: 120, seconds: 12 }, NONE, REPORTED],
   ['ageing by processed tokens, prefixes that do not fit', MANY_PREFIXES, REPORTED, AGED],
   ['ageing by processed tokens, few hosts', { hosts: 7 }, NONE, { ...NONE, cacheAging: 1 }],
+  ['cost of copies, all engines busy', {}, AGED, COPIES],
+  ['cost of copies, views up to 2.2 s old', { viewAgeMs: 2000 }, AGED, COPIES],
+  ['cost of copies, prefixes that do not fit', MANY_PREFIXES, AGED, COPIES],
 ];
 for (const [name, load, before, after] of CASES)
   t.test(`serves prompts sooner: ${name}`, (t) => {
