Count only what is known at the preferred engine of a prefix

The preferred engine of a prefix counted as holding all of it, also just after its start and for a prefix that nobody had sent yet: a whole burst waited there, and its backlog was estimated too low.

With known-weight (0, off, by default; for routes that declare a longest pause), only what hosts have sent there counts.

--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -1,5 +1,6 @@
 import { computeSlowStreamCost } from '../../pace/computeSlowStreamCost/index.js';
 import { computeCopyCost } from '../../prefixCache/computeCopyCost/index.js';
+import { computeKnownTokens } from '../../prefixCache/computeKnownTokens/index.js';
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
 import { PROMPT_TOKENS_PER_MS } from '../constants.js';
 import { computeColdDelayMs } from '../computeColdDelayMs/index.js';
@@ -64,6 +65,10 @@
   spread?: number;
   /** How much the delay of others counts against that of the request itself; 0 by default. */
   othersWeight?: number;
+  /** How far only what is known counts as cached at the preferred server; 0 by default. */
+  knownWeight?: number;
+  /** Milliseconds since the host last learned of what others have sent; 0 by default. */
+  usesAgeMs?: number;
   /** How much another copy of the prefix costs, in multiples of its prefill; 0 by default. */
   copyWeight?: number;
   /** Requests with the prefix in a millisecond, from all hosts together; 0 by default. */
@@ -83,8 +88,8 @@
   random: () => number,
   options: RankServersOptions = {},
 ): RankedServer[] {
-  const { spread = 0, othersWeight = 0, copyWeight = 0 } = options;
-  const { prefixRequestsPerMs: requestsPerMs = 0 } = options;
+  const { spread = 0, othersWeight = 0, knownWeight, copyWeight = 0 } = options;
+  const { usesAgeMs, prefixRequestsPerMs: requestsPerMs = 0 } = options;
   const { hasPauseTarget = false, sharedTokens, unsharedTokens } = request;
   const tokens = sharedTokens + unsharedTokens;
   const workWeight = computeWorkWeight(candidates, { tokens, othersWeight });
@@ -95,7 +100,11 @@
   const holders = candidates.reduce((sum, candidate) => sum + countHolders(candidate), 0);
   return candidates
     .map((candidate) => {
-      const cachedTokens = candidate === preferred ? sharedTokens : candidate.cachedTokens;
+      const knownTokens = candidate.cachedTokens;
+      const cachedTokens =
+        candidate === preferred
+          ? computeKnownTokens({ sharedTokens, cachedTokens: knownTokens, knownWeight, usesAgeMs })
+          : knownTokens;
       const uncachedTokens = tokens - cachedTokens;
       const delayMs = estimateDelay(candidate, request, cachedTokens);
       const costMs = estimateCost(candidate, uncachedTokens);
--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -59,4 +59,13 @@
     unit: 'number',
     parse: parseWeight,
   },
+  knownWeight: {
+    flag: 'known-weight',
+    variable: 'BRONZELANDING_KNOWN_WEIGHT',
+    description:
+      'How far only what hosts have sent there counts as cached at the preferred engine of a prefix, for routes that declare a longest pause; 0 for the whole prefix.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseShare,
+  },
 } as const;
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -10,6 +10,8 @@
   cacheAging: number;
   /** Uses of prompt parts that a host reports to the others in a round at most. */
   prefixReports: number;
+  /** How far only what is known counts as cached at the preferred engine of a prefix. */
+  knownWeight: number;
   /** How much another copy of a prefix costs in the choice of an engine. */
   copyWeight: number;
 }
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -46,6 +46,7 @@
     rankServers(candidates, routed, context.random, {
       spread,
       ...(hasPauseTarget ? context.load : {}),
+      usesAgeMs: context.serverRegistry.getUsesAgeMs(),
       prefixRequestsPerMs: context.serverRegistry.getPrefixRate(routed.affinityKey),
     }),
     computeMaximumDelayMs(request, computeRemainingMs(state)),
--- a/tests/prefixCaches.test.ts
+++ b/tests/prefixCaches.test.ts
@@ -7,7 +7,9 @@
 const REPORTED = { ...NONE, prefixReports: 256 };
 const AGED = { ...REPORTED, cacheAging: 1 };
 const COPIES = { ...AGED, copyWeight: 2 };
+const KNOWN = { ...COPIES, knownWeight: 1 };
 const MANY_PREFIXES = { prefixes: 60 };
+const BURSTS = { burstSize: 12, utilisation: 0.5 };
 
 type Settings = Parameters<typeof replayPrefixes>[2];
 
@@ -30,6 +32,11 @@
   ['cost of copies, all engines busy', {}, AGED, COPIES],
   ['cost of copies, views up to 2.2 s old', { viewAgeMs: 2000 }, AGED, COPIES],
   ['cost of copies, prefixes that do not fit', MANY_PREFIXES, AGED, COPIES],
+  ['known prefixes, bursts', BURSTS, COPIES, KNOWN],
+  ['known prefixes, bursts at few hosts', { ...BURSTS, hosts: 4 }, COPIES, KNOWN],
+  ['known prefixes, prefixes that do not fit', MANY_PREFIXES, COPIES, KNOWN],
+  ['all, hot prefixes on 12 engines', { engines: 12, hotShare: 0.5, prefixes: 60 }, NONE, KNOWN],
+  ['all, engines restart', { restartMs: 2000 }, NONE, KNOWN],
 ];
 for (const [name, load, before, after] of CASES)
   t.test(`serves prompts sooner: ${name}`, (t) => {
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -205,6 +205,7 @@
     backlogWeight: 1,
     cacheAging: 1,
     prefixReports: 256,
+    knownWeight: 1,
     copyWeight: 2,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
--- a/tests/support/prefixReplay.ts
+++ b/tests/support/prefixReplay.ts
@@ -211,6 +211,7 @@
     const [best] = rankServers(candidates, request, () => uniformFloat64(choiceGenerator), {
       ...settings,
       spread: computeChoiceSpread(load.hosts),
+      usesAgeMs: registry?.getUsesAgeMs(),
       prefixRequestsPerMs: registry?.getPrefixRate(prefix) ?? 0,
     });
     const engine = engines[Number(best?.candidate.id.slice(1))];
