Merge the costs of copies and of what is not known to be cached

The preferred engine of a prefix can count as holding only what hosts have sent there (known-weight), and another copy of a prefix can cost (copy-weight); both are off by default.

--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -77,4 +77,22 @@
     unit: 'number',
     parse: parseNumber(0, 1),
   },
+  copyWeight: {
+    flag: 'copy-weight',
+    variable: 'BRONZELANDING_COPY_WEIGHT',
+    description:
+      'How much another copy of a prompt prefix costs in the choice of an engine, in multiples of its prefill, for routes that declare a longest pause; 0 for nothing.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseWeight,
+  },
+  knownWeight: {
+    flag: 'known-weight',
+    variable: 'BRONZELANDING_KNOWN_WEIGHT',
+    description:
+      'How far only what hosts have sent there counts as cached at the preferred engine of a prefix, for routes that declare a longest pause; 0 for the whole prefix.',
+    fallback: '0',
+    unit: 'number',
+    parse: parseShare,
+  },
 } as const;
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -210,6 +210,8 @@
     concurrencyLateShare: options.concurrencyLateShare ?? 0,
     cacheAging: 1,
     prefixReports: 256,
+    knownWeight: 1,
+    copyWeight: 2,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
