Test the OpenAI entry under crowds, and hosts under clients and engines that read slowly

tests/entryLimits.test.ts runs the crowds of tests/clientLimits.test.ts against an entry process with the flags of the smallest host, and two of its own: 400 clients that read nothing of answers of 4 MB, and 400 whose answers lack their last byte. tests/slowClients.test.ts does the same for a platform host.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -5,7 +5,11 @@
 import { Parser } from 'tap-parser';
 
 // Tests of memory and descriptors under load; other tests beside them would distort both.
-const SEPARATE_FILES = ['dist-tools/tests/clientLimits.test.js'];
+const SEPARATE_FILES = [
+  'dist-tools/tests/clientLimits.test.js',
+  'dist-tools/tests/entryLimits.test.js',
+  'dist-tools/tests/slowClients.test.js',
+];
 const givenFiles = process.argv.slice(2);
 const files = givenFiles.length > 0 ? givenFiles : listTestFiles();
 
--- a/tests/support/rawServer.ts
+++ b/tests/support/rawServer.ts
@@ -12,7 +12,7 @@
 
 /** Starts a server on a free port; `answer` gets the connection and the id of each request. */
 export async function startRawServer(
-  answer: (socket: Socket, requestId: string) => void,
+  answer: (socket: Socket, requestId: string, head: string) => void,
 ): Promise<RawServer> {
   const open = new Set<Socket>();
   let closedBytes = 0;
@@ -28,8 +28,9 @@
       received += chunk.toString('latin1');
       if (!received.includes('\r\n\r\n')) return;
       const id = /request-id: *([^\r]*)/i.exec(received)?.[1] ?? '';
+      const head = received;
       received = '';
-      answer(socket, id);
+      answer(socket, id, head);
     });
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
