Reserve memory for answers, and end the slowest readers first

Cause: an entry host read answers of up to 8 MB whole without counting them, and kept them for as long as their clients did not read them. Answers that waited were ended by size alone, after half a second without progress.

The entry now reserves the length of an answer in the memory budget before it reads it. Answers above 64 KiB wait for memory, as bodies do, and a request whose answer finds none gets 502 with the outcome 'unknown', because it may have run. When the memory is exhausted or an answer waits for it, answers whose connection has taken nothing for a second are reset, the one that stands still longest first, then the largest. Long answers are sent in parts, so that a slow reader is told from one that does not read. The settings keep their defaults; the descriptions of two of them name answers.

The unit tests replay 400 answers of 4 MB: 6 are read at a time instead of 400.

--- a/src/adapters/backendServer/index.ts
+++ b/src/adapters/backendServer/index.ts
@@ -1,7 +1,7 @@
 import { buildConnector, type Client, type Dispatcher } from 'undici';
 import { createResettingAgent } from '../http/createResettingAgent/index.js';
 import { createResettingClient } from '../http/createResettingClient/index.js';
-import { BaseError, formatError, ExecutionOutcome } from '../../errors/index.js';
+import { BaseError, formatError, ExecutionOutcome, RequestError } from '../../errors/index.js';
 
 /** A backend server refused a call, or its response did not arrive completely. */
 export const BackendServerError = BaseError.subclass('BackendServerError', {
@@ -172,13 +172,16 @@
 
 const STATUSES_WITHOUT_BODY = new Set([204, 304]);
 
+const FIRST_RESERVATION_BYTES = 65_536; // of a response that announces no length
+
 /**
- * Reads a complete response body. Rejects with BackendServerError when the body is truncated or over
+ * Reads a complete response body, after `reserveMemory` has resolved for its length. Rejects with BackendServerError when the body is truncated or over
  * the limit, and when it has no framing by which a truncation could be detected.
  */
 export async function readResponseBody(
   response: BackendResponse,
   maximumBytes: number,
+  reserveMemory: (bytes: number) => Promise<void> = () => Promise.resolve(),
 ): Promise<Buffer> {
   const { headers, status } = response;
   const isDelimited =
@@ -187,16 +190,30 @@
     STATUSES_WITHOUT_BODY.has(status);
   const chunks: Buffer[] = [];
   let length = 0;
+  const announced = Number(headers['content-length']);
+  let reservedBytes = announced <= maximumBytes ? announced : FIRST_RESERVATION_BYTES;
+  const reserve = async (bytes: number): Promise<void> => {
+    try {
+      await reserveMemory(bytes);
+    } catch (error) {
+      response.body.on('error', () => undefined).destroy();
+      throw error;
+    }
+  };
+  await reserve(reservedBytes);
   try {
     // Common case: undici checks the body against its Content-Length.
-    if (Number(headers['content-length']) <= maximumBytes)
-      return Buffer.from(await response.body.arrayBuffer());
+    if (announced <= maximumBytes) return Buffer.from(await response.body.arrayBuffer());
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       length += chunk.length;
       if (length > maximumBytes) throw new Error(`the answer is over ${maximumBytes} bytes`);
       chunks.push(chunk);
+      if (length <= reservedBytes) continue;
+      await reserve(maximumBytes - reservedBytes);
+      reservedBytes = maximumBytes;
     }
   } catch (cause) {
+    if (cause instanceof RequestError) throw cause;
     throw new BackendServerError(`the answer was cut: ${formatError(cause)}`, { cause });
   }
   if (!isDelimited)
--- a/src/adapters/callerHttp/createClientGuard/_lib/createMemoryBudget.ts
+++ b/src/adapters/callerHttp/createClientGuard/_lib/createMemoryBudget.ts
@@ -12,9 +12,10 @@
   reserve: (reservation: Reservation, bytes: number, purpose: MemoryPurpose) => boolean;
   /** Reduces a reservation to the given size. */
   release: (reservation: Reservation, remainingBytes: number) => void;
-  /** Sets the bytes of answers that wait for their readers. */
+  /** Sets the bytes of answers that wait for their readers, without those that are reserved. */
   setAnswerBytes: (bytes: number) => void;
-  isExhausted: () => boolean;
+  /** Returns the bytes in use above the limit; negative below it. */
+  getExcessBytes: () => number;
 }
 
 /** Creates a memory budget. */
@@ -24,7 +25,10 @@
   let answerBytes = 0;
   return {
     reserve: (reservation, bytes, purpose) => {
-      const use = { limitBytes, usedBytes: reservedBytes + answerBytes, largeBytes };
+      // A request does not compete with itself: its answer is admitted beside its own body.
+      const ownLargeBytes = reservation.isLarge ? reservation.bytes : 0;
+      const usedBytes = reservedBytes + answerBytes;
+      const use = { limitBytes, usedBytes, largeBytes: largeBytes - ownLargeBytes };
       if (!mayReserve(use, bytes, purpose)) return false;
       reservedBytes += bytes;
       reservation.bytes += bytes;
@@ -44,6 +48,6 @@
     setAnswerBytes: (bytes) => {
       answerBytes = bytes;
     },
-    isExhausted: () => reservedBytes + answerBytes > limitBytes,
+    getExcessBytes: () => reservedBytes + answerBytes - limitBytes,
   };
 }
--- a/src/adapters/callerHttp/createClientGuard/index.ts
+++ b/src/adapters/callerHttp/createClientGuard/index.ts
@@ -6,6 +6,7 @@
   type ClientConnection,
 } from '../../../decisions/clientLimits/chooseConnectionToClose/index.js';
 import { MemoryPurpose } from '../../../decisions/clientLimits/mayReserve/index.js';
+import { createAnswerMemory } from './_lib/createAnswerMemory.js';
 import { createBodyReader } from './_lib/createBodyReader.js';
 import { createMemoryBudget, type Reservation } from './_lib/createMemoryBudget.js';
 import { createRejectionLog } from './_lib/createRejectionLog.js';
@@ -30,8 +31,6 @@
 interface OpenRequest {
   incoming: IncomingMessage;
   response: ServerResponse;
-  /** Bytes of the answer that waited for its reader at the last check. */
-  unreadBytes: number;
 }
 
 const CHECK_INTERVAL_MS = 500; // a half of the shortest time that a decision depends on
@@ -43,13 +42,13 @@
   const { limits, clock, log, onRejected } = options;
   const budget = createMemoryBudget(limits.memoryBytes);
   const connections = new Map<Duplex, Connection>();
-  const requests = new Set<OpenRequest>();
   const rejectionLog = createRejectionLog({ clock, log });
   const countRejection = (reason: ClientRejection): void => {
     rejectionLog.record(reason);
     onRejected?.(reason);
   };
   const bodyReader = createBodyReader({ limits, clock, budget, countRejection });
+  const answerMemory = createAnswerMemory({ limits, clock, budget, countRejection });
 
   const addConnection = (socket: Socket): void => {
     if (connections.size >= limits.maximumConnections) {
@@ -78,31 +77,8 @@
     });
   };
 
-  /** Ends answers that their clients do not read, largest first, until the rest fits the budget. */
-  const checkAnswers = (): void => {
-    let answerBytes = 0;
-    const stalled: OpenRequest[] = [];
-    for (const request of requests) {
-      const unreadBytes = request.response.writableLength;
-      if (unreadBytes > 0 && unreadBytes >= request.unreadBytes && request.unreadBytes > 0)
-        stalled.push(request);
-      request.unreadBytes = unreadBytes;
-      answerBytes += unreadBytes;
-    }
-    budget.setAnswerBytes(answerBytes);
-    if (!budget.isExhausted()) return;
-    stalled.sort((left, right) => right.unreadBytes - left.unreadBytes);
-    for (const { response, unreadBytes } of stalled) {
-      if (!budget.isExhausted()) return;
-      countRejection(ClientRejection.slowReader);
-      // A reset, so that a partial answer cannot be taken for a complete one.
-      response.socket?.resetAndDestroy();
-      answerBytes -= unreadBytes;
-      budget.setAnswerBytes(answerBytes);
-    }
-  };
   const timer = setInterval(() => {
-    checkAnswers();
+    answerMemory.check();
     bodyReader.check();
     rejectionLog.write();
   }, CHECK_INTERVAL_MS);
@@ -125,15 +101,16 @@
     connection.requestCount += 1;
     const reservation: Reservation = { bytes: 0, isLarge: false };
     const hasMemory = budget.reserve(reservation, REQUEST_BYTES, MemoryPurpose.small);
-    const request: OpenRequest = { incoming, response, unreadBytes: 0 };
-    requests.add(request);
+    const answer = answerMemory.open({ response, socket, reservation });
+    const request: OpenRequest = { incoming, response };
     connection.requests.add(request);
     response.once('close', () => {
       connection.activeRequests -= 1;
       connection.idleSinceMs = clock.monotonicMs();
-      requests.delete(request);
       connection.requests.delete(request);
       budget.release(reservation, 0);
+      answerMemory.close(answer);
+      answerMemory.resumeWaiting();
       bodyReader.resumeWaiting();
     });
     let isRead = false;
@@ -144,6 +121,7 @@
         countRejection(ClientRejection.noMemory);
         return Promise.resolve(BodyFailure.noMemory);
       },
+      reserveAnswer: (bytes) => answerMemory.reserve(answer, bytes),
       skipBody: () => {
         const { maximumDiscardedBytes } = limits;
         connection.isClosing ||= refuseRestOfBody(
--- a/src/adapters/callerHttp/createClientGuard/test.ts
+++ b/src/adapters/callerHttp/createClientGuard/test.ts
@@ -3,6 +3,8 @@
 import { Socket } from 'node:net';
 import fc from 'fast-check';
 import t from 'tap';
+import { MemoryPurpose } from '../../../decisions/clientLimits/mayReserve/index.js';
+import { createAnswerMemory } from './_lib/createAnswerMemory.js';
 import { createBodyReader } from './_lib/createBodyReader.js';
 import { createMemoryBudget } from './_lib/createMemoryBudget.js';
 import { refuseRestOfBody } from './_lib/refuseRestOfBody.js';
@@ -193,3 +195,84 @@
     t.end();
   });
 });
+
+function createAnswers(limitBytes: number) {
+  let nowMs = 0;
+  const rejections: ClientRejection[] = [];
+  const budget = createMemoryBudget(limitBytes);
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const countRejection = (reason: ClientRejection) => void rejections.push(reason);
+  const answers = createAnswerMemory({ limits, clock, budget, countRejection });
+  const open = (unreadBytes = 0) => {
+    const socket = { bytesWritten: 0, resetAndDestroy: () => close() };
+    const reservation = { bytes: 0, isLarge: false };
+    const answer = answers.open({
+      reservation,
+      socket,
+      response: { writableLength: unreadBytes },
+    } as never);
+    const close = (): void => {
+      budget.release(reservation, 0);
+      answers.close(answer);
+      answers.resumeWaiting();
+    };
+    return { answer, socket, close, reserve: (bytes: number) => answers.reserve(answer, bytes) };
+  };
+  const pass = (milliseconds: number): void => {
+    for (let elapsed = 0; elapsed < milliseconds; elapsed += 500) {
+      nowMs += 500;
+      answers.check();
+    }
+  };
+  return { open, pass, rejections, budget };
+}
+
+// Guards against answers that are read whole without a bound: 400 of 4 MB took 262 MB and more.
+t.test(
+  'reads as many long answers at a time as the memory allows, and all small ones',
+  async (t) => {
+    const limitBytes = 32_000_000;
+    const { open, pass, budget, rejections } = createAnswers(limitBytes);
+    const results = Array.from({ length: 400 }, () => open().reserve(4_000_000));
+    t.ok(budget.getExcessBytes() <= 0);
+    t.ok(await open().reserve(1000));
+    pass(limits.bodySpanMs);
+    const admitted = (await Promise.all(results)).filter(Boolean).length;
+    t.equal(admitted, 6);
+    t.equal(rejections.length, 394);
+    t.ok(budget.getExcessBytes() <= 0);
+  },
+);
+
+t.test(
+  'ends the answer that is not read for one that waits, and none that makes progress',
+  async (t) => {
+    const { open, pass, rejections } = createAnswers(8_000_000);
+    const reading = open(65_536);
+    const stalled = open(65_536);
+    t.ok(await reading.reserve(3_000_000));
+    t.ok(await stalled.reserve(3_000_000));
+    pass(3000);
+    t.strictSame(rejections, [], 'the memory suffices');
+    const next = open().reserve(3_000_000);
+    for (let second = 0; second < 3; second += 1) {
+      reading.socket.bytesWritten += 65_536;
+      pass(500);
+    }
+    t.ok(await next);
+    t.strictSame(rejections, [ClientRejection.slowReader]);
+    t.equal(stalled.answer.reservation.bytes, 0);
+    t.equal(reading.answer.reservation.bytes, 3_000_000);
+  },
+);
+
+// Guards against a wait of an answer for memory that the body of its own request holds.
+t.test('reads one answer of each size without load, also beside a long body', async (t) => {
+  const { open, budget } = createAnswers(1_000_000);
+  const { answer, reserve, close } = open();
+  budget.reserve(answer.reservation, 4_000_000, MemoryPurpose.large);
+  t.ok(await reserve(8_388_608));
+  close();
+  t.equal(budget.getExcessBytes(), -1_000_000);
+  t.notOk(await reserve(8_388_608), 'nothing would release memory for a closed response');
+});
--- a/src/adapters/callerHttp/createClientGuard/types.ts
+++ b/src/adapters/callerHttp/createClientGuard/types.ts
@@ -45,6 +45,11 @@
    * not read: the connection closes after the response, with time for the client to receive it.
    */
   skipBody: () => void;
+  /**
+   * Must be called before an answer is read whole. Waits for memory, and resolves to false if there is
+   * none within the span of a body; the request may have run, so that no 503 may be sent.
+   */
+  reserveAnswer: (bytes: number) => Promise<boolean>;
 }
 
 /** Bounds what the clients of a server hold of this host. */
--- a/src/adapters/callerHttp/responses.ts
+++ b/src/adapters/callerHttp/responses.ts
@@ -5,6 +5,8 @@
 /** Header that reports the execution outcome of a request. */
 export const OUTCOME_HEADER = 'Bronzelanding-Outcome';
 
+const PART_BYTES = 65_536;
+
 const ERROR_TYPES: Record<number, string> = {
   400: 'invalid_request_error',
   401: 'authentication_error',
@@ -25,6 +27,27 @@
   return !response.destroyed && !response.writableEnded;
 }
 
+/** Sends a body; a long one in parts, because Node.js does not tell how much of one write has been taken. */
+function sendBody(response: ServerResponse, body: Buffer | string): void {
+  if (body.length <= PART_BYTES) {
+    response.end(body);
+    return;
+  }
+  const bytes = typeof body === 'string' ? Buffer.from(body) : body;
+  let offset = 0;
+  const sendNext = (): void => {
+    while (offset < bytes.length) {
+      const part = bytes.subarray(offset, offset + PART_BYTES);
+      offset += part.length;
+      if (response.write(part)) continue;
+      response.once('drain', sendNext);
+      return;
+    }
+    response.end();
+  };
+  sendNext();
+}
+
 /** Sends a JSON response that this host generated itself. */
 export function sendJson(request: CallerRequest, status: number, body: unknown): void {
   sendResponse(request, status, { 'Content-Type': 'application/json' }, JSON.stringify(body));
@@ -45,7 +68,7 @@
     'X-Request-Id': id,
     'Content-Length': Buffer.byteLength(body),
   });
-  response.end(body);
+  sendBody(response, body);
 }
 
 /** Sends a failure: as a complete response, or as an error event when a stream has already started. */
--- a/src/programs/clientLimitSettings.ts
+++ b/src/programs/clientLimitSettings.ts
@@ -13,7 +13,7 @@
     flag: 'client-memory-bytes',
     variable: 'BRONZELANDING_CLIENT_MEMORY_BYTES',
     description:
-      'Memory for request bodies, answers that wait for their readers, and the overhead of requests; 0 takes a fifth of the heap limit',
+      'Memory for request bodies, answers that are read whole or wait for their readers, and the overhead of requests; 0 takes a fifth of the heap limit',
     fallback: '0',
     unit: 'bytes',
     parse: parseInteger(0, MAX_BYTES),
@@ -47,7 +47,7 @@
     flag: 'body-span-ms',
     variable: 'BRONZELANDING_BODY_SPAN_MS',
     description:
-      'Span over which the progress of a body is measured, and longest wait of a body for memory',
+      'Span over which the progress of a body is measured, and longest wait of a body or an answer for memory',
     fallback: '5000',
     unit: 'milliseconds',
     parse: parseInteger(500, 3_600_000),
--- a/src/programs/entry/_lib/refusals.ts
+++ b/src/programs/entry/_lib/refusals.ts
@@ -1,3 +1,4 @@
+import type { CallerRequest } from '../../../adapters/callerHttp/index.js';
 import { createRequestError, ExecutionOutcome, type RequestError } from '../../../errors/index.js';
 
 type Failure = InstanceType<typeof RequestError>;
@@ -28,6 +29,16 @@
   });
 }
 
+/** Creates the function that reserves memory for an answer; it throws if there is none, as the request may have run. */
+export function createAnswerReservation({
+  guarded,
+}: Pick<CallerRequest, 'guarded'>): (bytes: number) => Promise<void> {
+  return async (bytes) => {
+    if (await guarded.reserveAnswer(bytes)) return;
+    throw createBackendFailure(ExecutionOutcome.unknown, 'there was no memory for the answer');
+  };
+}
+
 /** Creates the failure of a request whose key was withdrawn. */
 export function createKeyWithdrawnFailure(outcome: ExecutionOutcome): Failure {
   return createRequestError('the key was withdrawn', {
--- a/src/programs/entry/handlers/handleCompletion.ts
+++ b/src/programs/entry/handlers/handleCompletion.ts
@@ -18,7 +18,7 @@
 import { buildBackendHeaders, pickReturnedHeaders } from '../_lib/backendHeaders.js';
 import { openRequestScope, type RequestScope } from '../_lib/openRequestScope.js';
 import { buildEngineBody, parseCompletion, type Completion } from '../_lib/parseCompletion.js';
-import { createRefusal } from '../_lib/refusals.js';
+import { createAnswerReservation, createRefusal } from '../_lib/refusals.js';
 import { relayStream } from '../_lib/relayStream.js';
 import { runAttempts } from '../_lib/runAttempts.js';
 import type { Caller, EntryContext, RequestRecord } from '../types.js';
@@ -90,7 +90,11 @@
   response: BackendResponse,
 ): Promise<number | undefined> {
   const { context, request } = run;
-  const body = await readResponseBody(response, context.settings.maximumResponseBytes);
+  const body = await readResponseBody(
+    response,
+    context.settings.maximumResponseBytes,
+    createAnswerReservation(request),
+  );
   const headers = {
     ...pickReturnedHeaders(response.headers),
     [OUTCOME_HEADER]: response.status < 500 ? ExecutionOutcome.run : ExecutionOutcome.unknown,
--- a/src/programs/entry/handlers/handlePlainRoute.ts
+++ b/src/programs/entry/handlers/handlePlainRoute.ts
@@ -16,7 +16,7 @@
 import { buildBackendHeaders, pickReturnedHeaders } from '../_lib/backendHeaders.js';
 import { buildPlainTarget } from '../_lib/createBackendDirectory.js';
 import { openRequestScope } from '../_lib/openRequestScope.js';
-import { createBackendFailure, createRefusal } from '../_lib/refusals.js';
+import { createAnswerReservation, createBackendFailure, createRefusal } from '../_lib/refusals.js';
 import { runAttempts } from '../_lib/runAttempts.js';
 import { runClaimed } from '../_lib/runClaimed.js';
 import type { Caller, EntryContext, RequestRecord } from '../types.js';
@@ -63,7 +63,11 @@
     signal,
     idempotent: route.idempotent,
   });
-  const responseBody = await readResponseBody(response, context.settings.maximumResponseBytes);
+  const responseBody = await readResponseBody(
+    response,
+    context.settings.maximumResponseBytes,
+    createAnswerReservation(request),
+  );
   return {
     status: response.status,
     headers: pickReturnedHeaders(response.headers),
