Queue requests at the host while no engine is below its limit

With limits of what engines run at once, a stream that found none below its limit was sent beyond it, and made the others late. It now waits at its host in the order of priority and deadline, if the estimated wait lets it begin in time; otherwise it is refused at once with 503. The end of a request, a new view and limits that have become too old wake the queue. It ends with its caller, decides again when the host stops, and is bounded. While under half of the slots are taken and nothing waits there, a request is sent beyond the limit instead of being refused. The limits follow slots and memory that a server registers anew. The setting host-queue-length is 0 by default, for no queue.

--- a/src/decisions/concurrency/updateConcurrencyLimit/test.ts
+++ b/src/decisions/concurrency/updateConcurrencyLimit/test.ts
@@ -1,6 +1,7 @@
 import t from 'tap';
 import { addHeldTokens } from '../addHeldTokens/index.js';
 import { isWithinLimit } from '../isWithinLimit/index.js';
+import { mayExceedLimit } from '../mayExceedLimit/index.js';
 import type { ConcurrencyObservation } from '../types.js';
 import { buildFirstLimit, updateConcurrencyLimit } from './index.js';
 
@@ -66,6 +67,17 @@
   t.end();
 });
 
+// Guards against refusals while engines are half empty, under a limit from an earlier burst.
+t.test('a request that would be refused may use free slots where nothing waits', (t) => {
+  const limit = { requests: 4, tokens: 1000 };
+  const free = { limit, active: 15, slots: 32, backlogTokens: 0, heldTokens: 500 };
+  t.ok(mayExceedLimit({ ...free, addedTokens: 500 }));
+  t.notOk(mayExceedLimit({ ...free, addedTokens: 501 }));
+  t.notOk(mayExceedLimit({ ...free, addedTokens: 0, active: 16 }));
+  t.notOk(mayExceedLimit({ ...free, addedTokens: 0, backlogTokens: 300 }));
+  t.end();
+});
+
 t.test('counts a shared part once over all hosts', (t) => {
   const held = (ownTokens: number, ...parts: [number, number][]) => ({
     ownTokens,
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -11,6 +11,7 @@
 import { createEvacuations } from '../../../serving/createEvacuations/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
 import { createConcurrencyLimits } from '../../../serving/createConcurrencyLimits/index.js';
+import { createHostQueue } from '../../../serving/createHostQueue/index.js';
 import { createServerPaces } from '../../../serving/createServerPaces/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
@@ -57,6 +58,8 @@
     getTokensPerEvent: (service) =>
       configuration?.services.get(service)?.engines?.tokensPerEvent ?? 1,
   });
+  const hostQueue = createHostQueue({ clock, maximumLength: load.hostQueueLength });
+  concurrency.onChange(hostQueue.wake);
   const serverRegistry = createServerRegistry({
     clock,
     log,
@@ -154,6 +157,7 @@
     serverNotices,
     serverPaces,
     concurrency,
+    hostQueue,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
@@ -230,6 +234,7 @@
   serverNotices.onChange(applyServers);
   metrics.setColdServerCounter(serverNotices.countCold);
   metrics.setSlowServerCounter(serverPaces.countSlow);
+  metrics.setQueueCounter(hostQueue.count);
   metrics.observeConcurrencyLimits(concurrency.listLimits);
   const serverWatch = watchServers({
     store,
@@ -269,6 +274,7 @@
       leave: membership.leave,
       setLastSendAtMs: (atMs) => {
         lastSendAtMs = atMs;
+        hostQueue.endAll();
       },
       close: async () => {
         stopping.abort();
--- a/src/programs/loadSettings.ts
+++ b/src/programs/loadSettings.ts
@@ -1,4 +1,4 @@
-import { parseNumber } from '../settings/index.js';
+import { parseInteger, parseNumber } from '../settings/index.js';
 
 const parseWeight = parseNumber(0, 10);
 
@@ -40,4 +40,22 @@
     unit: 'number',
     parse: parseNumber(0, 1),
   },
+  hostQueueLength: {
+    flag: 'host-queue-length',
+    variable: 'BRONZELANDING_HOST_QUEUE_LENGTH',
+    description:
+      'Most requests that wait at this host while no engine is below its limit of requests at once; further ones, and those that would begin late, are refused. 0 for no queue; they are then sent beyond the limits.',
+    fallback: '0',
+    unit: 'count',
+    parse: parseInteger(0, 100_000),
+  },
+  hostQueueTargets: {
+    flag: 'host-queue-targets',
+    variable: 'BRONZELANDING_HOST_QUEUE_TARGETS',
+    description:
+      'Multiples of the latency target of its route within which a request that waits in the queue of this host has to begin.',
+    fallback: '1',
+    unit: 'number',
+    parse: parseWeight,
+  },
 } as const;
--- a/src/serving/createServingMetrics/index.ts
+++ b/src/serving/createServingMetrics/index.ts
@@ -27,6 +27,10 @@
   observeConcurrencyLimits: (
     readLimits: () => ReadonlyMap<string, { requests: number; tokens: number }>,
   ) => void;
+  /** Sets the function that counts the requests in the queue of this host, called with each rendering. */
+  setQueueCounter: (count: () => number) => void;
+  /** Records the time that a request waited in the queue of this host. */
+  recordQueueTime: (route: string, milliseconds: number) => void;
   /** Counts a log line that was dropped by the rate limit of the log. */
   countOmittedLogLine: () => void;
   /** Counts a client that exceeded a limit and was rejected or closed. */
@@ -56,6 +60,7 @@
   const rejected = counter('clients_rejected_total', 'Clients above a limit', ['reason']);
   const firstBytes = histogram('first_bytes_seconds', 'Arrival to first bytes of the answer');
   const durations = histogram('request_seconds', 'Arrival to the end of the answer');
+  const queueTimes = histogram('queue_seconds', 'Wait in the queue of this host');
   const leading = new Gauge({
     name: 'bronzelanding_leading',
     help: 'Whether this host places models',
@@ -86,6 +91,15 @@
       this.set(countSlow());
     },
   });
+  let countQueued = (): number => 0;
+  new Gauge({
+    name: 'bronzelanding_queued_requests',
+    help: 'Requests of this host that wait for a server below its limit',
+    registers,
+    collect() {
+      this.set(countQueued());
+    },
+  });
   let countCold = (): number => 0;
   new Gauge({
     name: 'bronzelanding_cold_servers',
@@ -140,6 +154,10 @@
         () => [...readLimits()].map(([server, { tokens }]) => [server, tokens]),
       );
     },
+    setQueueCounter: (count) => {
+      countQueued = count;
+    },
+    recordQueueTime: (route, milliseconds) => queueTimes.observe({ route }, milliseconds / 1000),
     countOmittedLogLine: () => omitted.inc(),
     countRejectedClient: (reason) => rejected.inc({ reason }),
   };
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -8,4 +8,8 @@
   backlogWeight: number;
   /** Share of late streams above which an engine runs fewer requests at once. */
   concurrencyLateShare: number;
+  /** Most requests that wait at a host for an engine below its limit. */
+  hostQueueLength: number;
+  /** Multiples of its latency target within which a request that waits has to begin. */
+  hostQueueTargets: number;
 }
--- a/src/serving/serveRequest/_lib/chooseServer.ts
+++ b/src/serving/serveRequest/_lib/chooseServer.ts
@@ -9,7 +9,7 @@
 import { rankServers } from '../../../decisions/serving/rankServers/index.js';
 import type { RankedServer } from '../../../decisions/serving/types.js';
 import type { BackendServer } from '../../../ports/serving.js';
-import { rankWithinLimits } from './rankWithinLimits.js';
+import { isServerWithinLimit, mayExceedServerLimit, rankWithinLimits } from './rankWithinLimits.js';
 import { computeRemainingMs, type RequestState, type SkippedColdServer } from './requestState.js';
 
 const MAX_ADAPTER_CANDIDATES = 3; // engines that the leader may choose from
@@ -89,6 +89,10 @@
   uncachedTokens: number;
   /** Wait from which on another server suits the request better; Infinity without another one. */
   usefulWaitMs: number;
+  /** Whether the server is below the limit of what it runs at once. */
+  isWithinLimit: boolean;
+  /** Whether the request may run there beyond the limit instead of being refused. */
+  mayExceedLimit: boolean;
 }
 
 /** Describes the cold server that would have been chosen if it were warm, for the log. */
@@ -120,7 +124,16 @@
   state.skippedCold = describeSkippedCold(state, findSkippedCold(ranked, chosen));
   const otherScoresMs = ranked.filter((other) => other !== chosen).map(({ scoreMs }) => scoreMs);
   const usefulWaitMs = Math.max(0, Math.min(...otherScoresMs) - (chosen.scoreMs - waitMs));
-  return { server, delayMs, waitMs, uncachedTokens, usefulWaitMs };
+  const isWithinLimit = isServerWithinLimit(state, chosen);
+  return {
+    server,
+    delayMs,
+    waitMs,
+    uncachedTokens,
+    usefulWaitMs,
+    isWithinLimit,
+    mayExceedLimit: mayExceedServerLimit(state, chosen),
+  };
 }
 
 /** Selects a server for a request; has the adapter loaded when the best server lacks it. */
--- a/src/serving/serveRequest/_lib/requestState.ts
+++ b/src/serving/serveRequest/_lib/requestState.ts
@@ -64,6 +64,10 @@
   /** Reason for the end of the last attempt. */
   lastReason: string;
   lastServer?: string;
+  /** Milliseconds that it waited in the queue of this host; undefined where it did not. */
+  queuedMs?: number;
+  /** Whether it left the queue for a server below its limit. */
+  isReleased?: boolean;
   /** The cold server that the last choice would otherwise have preferred. */
   skippedCold?: SkippedColdServer;
   /** Age of the list of servers at the last choice, in milliseconds. */
@@ -114,6 +118,7 @@
       sharedParts: state.attemptsRun > 0 ? listSharedPartIds(request).join() : undefined,
       version: context.getConfigurationVersion(),
       serversAgeMs: state.serversAgeMs === undefined ? undefined : Math.round(state.serversAgeMs),
+      queuedMs: state.queuedMs === undefined ? undefined : Math.round(state.queuedMs),
       ...describeEvacuated(state),
       ...state.skippedCold,
       ...logFields,
--- a/src/serving/serveRequest/_lib/startTracking.ts
+++ b/src/serving/serveRequest/_lib/startTracking.ts
@@ -22,12 +22,15 @@
     ownTokens: routed.unsharedTokens - request.maximumOutputTokens,
     sharedParts: routed.sharedParts,
   });
+  // The next request in the queue may run beside this one.
+  context.hostQueue.wake();
   return {
     ...tracked,
     recordEvents: held.addEvents,
     release: (outcome) => {
       tracked.release(outcome);
       held.release();
+      context.hostQueue.wake();
     },
   };
 }
--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -22,6 +22,7 @@
   refuseRequest,
   type RequestState,
 } from './_lib/requestState.js';
+import { waitInQueue } from './_lib/waitInQueue.js';
 import { recordPace, startTracking } from './_lib/startTracking.js';
 
 const MAX_SENDS = 5; // a refusal costs a round trip, and further servers rarely have capacity either
@@ -209,6 +210,9 @@
       refuseRequest(state, reason, estimateRetryAfterMs(state));
       return;
     }
+    const place = await waitInQueue(state, selection);
+    if (place === ServerAdmission.refused) return;
+    if (place === ServerAdmission.chooseAgain) continue;
     const admission = await admitToServer(state, selection);
     if (admission === ServerAdmission.refused) return;
     if (admission === ServerAdmission.chooseAgain || isAborted(response.signal)) continue;
--- a/src/serving/startFleetLeader/_lib/createConcurrencyMeter.ts
+++ b/src/serving/startFleetLeader/_lib/createConcurrencyMeter.ts
@@ -67,9 +67,15 @@
     id: string,
     { slots, service }: Pick<BackendServer, 'service' | 'slots'>,
   ): Observed => {
-    const known = observed.get(id);
-    if (known !== undefined) return known;
     const limit = buildFirstLimit(slots, findPool(service)?.memoryTokens ?? 0);
+    const known = observed.get(id);
+    if (known !== undefined) {
+      // The server may have registered again, or a new configuration be in force.
+      const { requests, tokens } = known.limit;
+      known.limit.requests = Math.min(limit.requests, requests);
+      known.limit.tokens = Math.min(limit.tokens, tokens);
+      return known;
+    }
     const added = {
       ...EMPTY_OBSERVATION,
       limit: { ...limit, ...knownLimits.get(id) },
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -8,6 +8,7 @@
 import type { ServerNotices } from './createServerNotices/index.js';
 import type { ServerPaces } from './createServerPaces/index.js';
 import type { ServerRegistry, TrackedRequest } from './createServerRegistry/index.js';
+import type { HostQueue } from './createHostQueue/index.js';
 import type { LoadOptions } from './loadOptions.js';
 import type { ConcurrencyLimits } from './createConcurrencyLimits/index.js';
 import type { ServingMetrics } from './createServingMetrics/index.js';
@@ -129,6 +130,8 @@
     ConcurrencyLimits,
     'holdMemory' | 'recordStream' | 'getLimit' | 'getHeldTokens'
   >;
+  /** Requests of this host that wait for a server below its limit. */
+  hostQueue: Pick<HostQueue, 'isEnabled' | 'wait' | 'countAhead' | 'wake'>;
   /** Counts a request in or out of those that use a model or adapter on a server. */
   recordModelUse: (server: string, name: string, change: 1 | -1) => void;
   getConfigurationVersion: () => number;
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -171,6 +171,8 @@
   evacuationDelayMs?: number;
   /** Share of late streams above which engines run less at once; no such limits by default. */
   concurrencyLateShare?: number;
+  /** Most requests that wait at a host for an engine below its limit; no queue by default. */
+  hostQueueLength?: number;
 }
 
 /** Starts a host with a store; use `isHostReady` to wait until it serves requests. */
@@ -206,6 +208,8 @@
     othersWeight: 1,
     backlogWeight: 1,
     concurrencyLateShare: options.concurrencyLateShare ?? 0,
+    hostQueueLength: options.hostQueueLength ?? 0,
+    hostQueueTargets: 1,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
