Merge the queue at the host

Requests queue at the host while no engine is below its learned limit; off by default. Fleets of tests have levels, limits and queues only where a test asks for them, as these refuse requests.

--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -10,9 +10,6 @@
 import { createEpochStore } from '../../../serving/createEpochStore/index.js';
 import { createEvacuations } from '../../../serving/createEvacuations/index.js';
 import { createListAge } from '../../../serving/createListAge/index.js';
-import { createAdmissionControl } from '../../../serving/createAdmissionControl/index.js';
-import { createConcurrencyLimits } from '../../../serving/createConcurrencyLimits/index.js';
-import { createServerPaces } from '../../../serving/createServerPaces/index.js';
 import { createServerRegistry } from '../../../serving/createServerRegistry/index.js';
 import { watchPrefix } from '../../../serving/watchPrefix/index.js';
 import { watchServers } from '../../../serving/watchServers/index.js';
@@ -20,6 +17,7 @@
 import { serveRequest } from '../../../serving/serveRequest/index.js';
 import type { ServingContext } from '../../../serving/types.js';
 import type { FleetEntry, FleetEntryOptions } from './types.js';
+import { createLoadControl } from './_lib/createLoadControl.js';
 import { createRefreshes } from './_lib/createRefreshes.js';
 import { runPlannedStop } from './_lib/runPlannedStop.js';
 
@@ -54,14 +52,11 @@
     onComplete: () => refreshes.recordEvacuationsRead(),
   });
   const { load } = settings;
-  const serverPaces = createServerPaces({ weight: load.paceWeight });
-  const admission = createAdmissionControl({ ...options, load });
-  const concurrency = createConcurrencyLimits({
-    clock,
-    lateShare: load.concurrencyLateShare,
-    getTokensPerEvent: (service) =>
-      configuration?.services.get(service)?.engines?.tokensPerEvent ?? 1,
-  });
+  const loadControl = createLoadControl(
+    options,
+    (service) => configuration?.services.get(service)?.engines,
+  );
+  const { serverPaces, concurrency, hostQueue } = loadControl;
   const serverRegistry = createServerRegistry({
     clock,
     log,
@@ -116,10 +111,8 @@
     orders: options.orders,
     serverRegistry,
     serverNotices,
-    serverPaces,
-    concurrency,
+    ...loadControl,
     load,
-    admission,
     rateLimiter,
     retryBudget,
     host,
@@ -159,9 +152,7 @@
     quarantine: fleetMember.quarantine,
     requestLimiter: fleetMember.requestLimiter,
     serverNotices,
-    serverPaces,
-    admission,
-    concurrency,
+    ...loadControl,
     recordModelUse: fleetMember.recordModelUse,
     getConfigurationVersion: () => configuration?.version ?? 0,
     getServersAgeMs: listAge.getAgeMs,
@@ -238,6 +229,7 @@
   serverNotices.onChange(applyServers);
   metrics.setColdServerCounter(serverNotices.countCold);
   metrics.setSlowServerCounter(serverPaces.countSlow);
+  metrics.setQueueCounter(hostQueue.count);
   metrics.observeConcurrencyLimits(concurrency.listLimits);
   const serverWatch = watchServers({
     store,
@@ -277,6 +269,7 @@
       leave: membership.leave,
       setLastSendAtMs: (atMs) => {
         lastSendAtMs = atMs;
+        hostQueue.endAll();
       },
       close: async () => {
         stopping.abort();
--- a/src/serving/loadOptions.ts
+++ b/src/serving/loadOptions.ts
@@ -20,4 +20,8 @@
   knownWeight: number;
   /** How much another copy of a prefix costs in the choice of an engine. */
   copyWeight: number;
+  /** Most requests that wait at a host for an engine below its limit. */
+  hostQueueLength: number;
+  /** Multiples of its latency target within which a request that waits has to begin. */
+  hostQueueTargets: number;
 }
--- a/tests/admissionFleet.test.ts
+++ b/tests/admissionFleet.test.ts
@@ -19,7 +19,9 @@
 // requests, of those that free engines would serve, or with a Retry-After that callers do not honour.
 t.test('hosts refuse the last class while the slots of the engines are taken', async (t) => {
   const engine = { id: 'engine-1', models: { oak: [] }, events: 90, eventIntervalMs: 20 };
-  const fleet = await startPlatformFleet(2, [engine]);
+  const fleet = await startPlatformFleet(2, [engine], {
+    load: { maximumRefusedShare: 0.9, fairWeight: 1 },
+  });
   t.teardown(() => fleet.close());
   fleet.store.put('op/config', buildConfiguration(2, CONFIGURATION));
   const [first, second] = fleet.hosts;
--- a/tests/support/platformFleet.ts
+++ b/tests/support/platformFleet.ts
@@ -1,5 +1,6 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { Agent, request as sendRequest } from 'undici';
+import type { LoadOptions } from '#dist/serving/loadOptions.js';
 import { startPlatformHost, type PlatformHost } from '../../platform/startPlatformHost.js';
 import {
   startPlatformEngine,
@@ -161,6 +162,22 @@
   return Promise.all(responses);
 }
 
+/** What changes only the order of servers is on, so that all tests of fleets cover it. */
+const LOAD: LoadOptions = {
+  paceWeight: 1,
+  othersWeight: 1,
+  backlogWeight: 1,
+  maximumRefusedShare: 0,
+  fairWeight: 0,
+  concurrencyLateShare: 0,
+  hostQueueLength: 0,
+  hostQueueTargets: 1,
+  cacheAging: 1,
+  prefixReports: 256,
+  knownWeight: 1,
+  copyWeight: 2,
+};
+
 /** Options of the hosts in a test, and of their store. */
 export interface TestHostOptions {
   /** Epoch that the store names at first; none by default. */
@@ -169,8 +186,8 @@
   maximumStalenessMs?: number;
   /** Time within which an evacuation must be in force; no evacuations by default. */
   evacuationDelayMs?: number;
-  /** Share of late streams above which engines run less at once; no such limits by default. */
-  concurrencyLateShare?: number;
+  /** Decisions for heavy load; by default without limits, queues and levels, which refuse requests. */
+  load?: Partial<LoadOptions>;
 }
 
 /** Starts a host with a store; use `isHostReady` to wait until it serves requests. */
@@ -202,16 +219,8 @@
     registrationIntervalMs: 500,
     firstStart: 'true',
     maximumResponseBytes: MAX_RESPONSE_BYTES,
-    paceWeight: 1,
-    othersWeight: 1,
-    backlogWeight: 1,
-    maximumRefusedShare: 0.9,
-    fairWeight: 1,
-    concurrencyLateShare: options.concurrencyLateShare ?? 0,
-    cacheAging: 1,
-    prefixReports: 256,
-    knownWeight: 1,
-    copyWeight: 2,
+    ...LOAD,
+    ...options.load,
     logLinesPerSecond: 1,
     clientMemoryBytes: 0,
     maximumConnections: 0,
