Teach the soak silent peers, early signals and unanswered orders

It draws three more kinds of faults now: connections between hosts that take bytes and deliver nothing for 1 to 10 s, in one or both directions or only where they were open, and stay silent afterwards; SIGHUP, SIGTERM and SIGINT within 300 ms after a process handles signals; and engines that read orders and never answer them, whether they ignore or execute them.

Two checks are new. Processes set their handlers before they load other modules, and end only by a kill or, with status 0, by a stop. Of the requests without a response at their timeout at most half have none half a second later, also while engines leave orders unanswered. That fencing tokens at an engine never fall is checked as before.

The plans of the first seeds stay as they were, because their tests draw from the kinds of that time.

--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -3,7 +3,13 @@
 import { FaultKind } from './soak/types.js';
 
 /** Kinds of faults from which the plans of the first seeds were drawn. */
-const LATER_KINDS: readonly FaultKind[] = [FaultKind.engineNotice, FaultKind.restore];
+const LATER_KINDS: readonly FaultKind[] = [
+  FaultKind.engineNotice,
+  FaultKind.restore,
+  FaultKind.silentPeers,
+  FaultKind.earlySignal,
+  FaultKind.engineOrders,
+];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) => !LATER_KINDS.includes(kind));
 /** Seeds that failed before, with the cause. */
 const REGRESSIONS: readonly { seed: number; cause: string; kinds: readonly FaultKind[] }[] = [
--- a/tests/soak/applyFault.ts
+++ b/tests/soak/applyFault.ts
@@ -8,6 +8,7 @@
 
 const RESTART_DELAY_MS = 500; // the platform restarts an exited process after a short delay
 const STOP_GRACE_PERIOD_MS = 8000; // between SIGTERM and SIGKILL, as in the deployments
+const RELOAD_EXIT_MS = 1000; // a process that a reload ends has ended by then
 const DRAIN_MS = 2000; // a draining engine still serves requests for this time
 const REQUESTS_PER_FAILURE = 3; // every third request fails
 
@@ -42,6 +43,19 @@
   await startAfterExit(host);
 }
 
+/** Restarts a process and sends it a signal within its first moments; starts it again if it ends. */
+async function applyEarlySignal(host: SoakHost, signal: NodeJS.Signals, delayMs: number) {
+  await applyKill(host);
+  await host.handlesSignals;
+  await wait(delayMs);
+  host.process?.kill(signal);
+  const patienceMs = signal === 'SIGHUP' ? RELOAD_EXIT_MS : STOP_GRACE_PERIOD_MS;
+  const exit = await Promise.race([host.process?.exited, wait(patienceMs, undefined)]);
+  if (exit === undefined && signal === 'SIGHUP') return;
+  if (exit === undefined) host.process?.kill('SIGKILL');
+  await startAfterExit(host);
+}
+
 async function applyProxyMode(proxy: Proxy, how: string, forMs: number): Promise<void> {
   proxy.setMode(how as ProxyMode);
   await wait(forMs);
@@ -185,7 +199,10 @@
     case FaultKind.reload:
       process?.kill('SIGHUP');
       return;
+    case FaultKind.earlySignal:
+      return runTransition(host, () => applyEarlySignal(host, how as NodeJS.Signals, forMs));
     case FaultKind.clock: {
+      await host.handlesSignals; // until then SIGUSR2 ends a process
       const signal = how === 'ahead' ? 'SIGUSR2' : 'SIGWINCH';
       process?.kill(signal);
       await wait(forMs);
@@ -195,6 +212,7 @@
     case FaultKind.storeLink:
       return applyProxyMode(host.storeProxy, how, forMs);
     case FaultKind.peerLink:
+    case FaultKind.silentPeers:
       return applyProxyMode(host.peerProxy, how, forMs);
     case FaultKind.engineLink:
       return applyProxyMode(target.proxy, how, forMs);
@@ -221,6 +239,11 @@
       await wait(forMs);
       target.engine.setOrdersDelayed(false);
       return;
+    case FaultKind.engineOrders:
+      target.engine.setOrdersUnanswered(how as 'ignored' | 'executed');
+      await wait(forMs);
+      target.engine.setOrdersUnanswered(undefined);
+      return;
     case FaultKind.configuration:
       applyConfiguration(fleet, record);
       return;
--- a/tests/soak/checkGuarantees.ts
+++ b/tests/soak/checkGuarantees.ts
@@ -1,5 +1,8 @@
 import { LIMITED_BURST, LIMITED_RATE, SoakOrganisation } from './buildSoakConfiguration.js';
 import { checkNotices } from './checkNotices.js';
+import { checkProcesses } from './checkProcesses.js';
+import { checkResponseTimes } from './checkResponseTimes.js';
+import { isUndisturbed, UNDISTURBED_MS } from './isUndisturbed.js';
 import {
   FaultKind,
   type SoakRecord,
@@ -9,7 +12,6 @@
 } from './types.js';
 
 const STREAM_EVENTS = 8; // events that a stand-in engine sends in each stream
-const UNDISTURBED_MS = 3000; // a host is taken to be in contact after this time without a disturbance
 const APPLY_TIMEOUT_MS = 2000; // hosts in contact apply a new configuration version within this time
 const DRAIN_TIMEOUT_MS = 2000; // after it a draining engine gets no more requests
 const ROLLBACK_TOLERANCE_MS = 250; // a host may still use the previous version for this time
@@ -33,17 +35,6 @@
   return route === '/chat/' || route === '/plan/';
 }
 
-/** Whether no fault disturbed a host, the store or all hosts between two moments and shortly before. */
-function isUndisturbed(record: SoakRecord, host: string, fromMs: number, toMs = fromMs): boolean {
-  return !record.disturbances.some(
-    ({ host: disturbedHost, kind, ...span }) =>
-      (disturbedHost === undefined || disturbedHost === host) &&
-      !kind.startsWith('engine') &&
-      span.fromMs <= toMs &&
-      span.toMs >= fromMs - UNDISTURBED_MS,
-  );
-}
-
 function collectRunsById(runs: readonly SoakRun[]): Map<string, SoakRun[]> {
   const byId = new Map<string, SoakRun[]>();
   for (const run of runs) byId.set(run.id, [...(byId.get(run.id) ?? []), run]);
@@ -282,6 +273,8 @@
     ...checkAdapterSlots(record),
     ...checkDrains(record, requestsById),
     ...checkNotices(record),
+    ...checkProcesses(record),
+    ...checkResponseTimes(record),
     ...checkRate(record),
     ...checkCancellations(record, runsById),
     ...checkStops(record, runsById),
--- a/tests/soak/planFaults.ts
+++ b/tests/soak/planFaults.ts
@@ -21,6 +21,11 @@
 
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4000; // longer than a host's lease and a handover together
+/** Shortest and longest time of the other kinds; of an early signal it is the time since the start. */
+const SPANS_MS: Partial<Record<FaultKind, readonly [number, number]>> = {
+  [FaultKind.silentPeers]: [1000, 10_000],
+  [FaultKind.earlySignal]: [0, 300],
+};
 const REPEAT_PROBABILITY = 0.25; // probability that a fault hits its target a second time
 const REPEAT_DELAY_MS = 600; // after the end of the first fault
 
@@ -43,6 +48,13 @@
   [FaultKind.storeLink]: LINK_MODES,
   [FaultKind.peerLink]: LINK_MODES,
   [FaultKind.engineLink]: LINK_MODES,
+  [FaultKind.silentPeers]: [
+    ProxyMode.lose,
+    ProxyMode.loseUp,
+    ProxyMode.loseDown,
+    ProxyMode.loseOpen,
+  ],
+  [FaultKind.earlySignal]: ['SIGHUP', 'SIGTERM', 'SIGINT'],
   [FaultKind.store]: [
     StoreMode.busy,
     StoreMode.silent,
@@ -65,6 +77,7 @@
   ],
   [FaultKind.engineNotice]: ['leave', 'limit', 'pause'],
   [FaultKind.lateOrders]: [''],
+  [FaultKind.engineOrders]: ['ignored', 'executed'],
   [FaultKind.configuration]: ['', '', ''],
   [FaultKind.restore]: [StoreMode.busy, StoreMode.silent],
 };
@@ -84,7 +97,8 @@
     const kind = pickOne(kinds);
     const isEngine = kind.startsWith('engine') || kind === FaultKind.lateOrders;
     const target = uniformInt(generator, 0, (isEngine ? engines : hosts) - 1);
-    const forMs = MIN_FAULT_MS + random() ** 2 * (MAX_FAULT_MS - MIN_FAULT_MS);
+    const [minMs, maxMs] = SPANS_MS[kind] ?? [MIN_FAULT_MS, MAX_FAULT_MS];
+    const forMs = minMs + random() ** 2 * (maxMs - minMs);
     const fault = { kind, atMs, forMs, target, how: pickOne(VARIANTS[kind]) };
     faults.push(fault);
     if (random() < REPEAT_PROBABILITY)
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -95,6 +95,7 @@
     restarts: [],
     received: [],
     stops: [],
+    processes: fleet.processes,
     calmFromMs: 0,
   };
   const faults = planFaults({
@@ -115,7 +116,9 @@
       await wait(Math.max(0, startedAtMs + fault.atMs - performance.now()));
       onFault?.(fault);
       const host = findDisturbedHost(fleet, fault);
-      const key = `${fault.kind}/${fault.target}`;
+      // Both use the proxy in front of the host.
+      const kind = fault.kind === FaultKind.silentPeers ? FaultKind.peerLink : fault.kind;
+      const key = `${kind}/${fault.target}`;
       const applyAndRecord = async (): Promise<void> => {
         const disturbance = {
           kind: fault.kind,
@@ -135,6 +138,7 @@
     await wait(RECOVERY_MS + CHECKED_LOAD_MS);
     await callers.stop();
     collectObservations(fleet, record);
+    record.processes = structuredClone(fleet.processes);
     for (const { name, process } of fleet.hosts) logs.set(name, process?.lines.slice(-200) ?? []);
   } finally {
     await fleet.close();
--- a/tests/soak/startCallers.ts
+++ b/tests/soak/startCallers.ts
@@ -79,6 +79,7 @@
         },
       });
       request.status = response.statusCode;
+      request.answeredAtMs = performance.now();
       request.hasSeal = response.headers['server-seal'] !== undefined;
       for await (const chunk of response.body as AsyncIterable<Buffer>)
         request.body += chunk.toString();
--- a/tests/soak/startSoakFleet.ts
+++ b/tests/soak/startSoakFleet.ts
@@ -6,6 +6,7 @@
 import { waitUntil } from '../support/waitUntil.js';
 import { buildSoakConfiguration } from './buildSoakConfiguration.js';
 import { startProxy, type Proxy } from './startProxy.js';
+import type { SoakProcess } from './types.js';
 
 /** A host of the soak: a process, its ports, and the proxies of its connections. */
 export interface SoakHost {
@@ -17,6 +18,8 @@
   /** Proxy between the other hosts and this one. */
   peerProxy: Proxy;
   process?: RunningProcess;
+  /** Resolves when the process handles signals, or has ended before. */
+  handlesSignals: Promise<unknown>;
   /** Number of starts of the process. */
   incarnation: number;
   start: () => void;
@@ -37,6 +40,8 @@
   store: PlatformStore;
   hosts: SoakHost[];
   engines: SoakEngine[];
+  /** All processes of hosts since the start. */
+  processes: SoakProcess[];
   /** Resolves when the last restore of the store has finished; the next one waits for it. */
   lastRestore: Promise<void>;
   close: () => Promise<void>;
@@ -94,6 +99,7 @@
   index: number,
   store: PlatformStore,
   peerPorts: Map<string, number>,
+  processes: SoakProcess[],
 ): Promise<SoakHost> {
   const [callerPort = 0, readyPort = 0, peerPort = 0, metricsPort = 0] = await findFreePorts(4);
   const name = `host-${index}`;
@@ -107,6 +113,7 @@
     storeProxy,
     peerProxy,
     incarnation: 0,
+    handlesSignals: Promise.resolve(),
     lastTransition: Promise.resolve(),
     start: () => {
       host.incarnation += 1;
@@ -119,12 +126,31 @@
         'peer-port': peerPort,
         'metrics-port': metricsPort,
       };
-      host.process = startProcess(
+      const started = startProcess(
         name,
         '../dist-tools/platform/main.js',
         Object.entries(flags).map(([flag, value]) => `--${flag}=${value}`),
         { NODE_OPTIONS: `--max-old-space-size=${HEAP_MB} --import=${CLOCK_SHIFT_MODULE}` },
       );
+      const entry: SoakProcess = { host: name, handlesFromMs: Infinity, signals: [] };
+      processes.push(entry);
+      host.process = {
+        ...started,
+        kill: (signal) => {
+          entry.signals.push({ signal, atMs: performance.now() });
+          started.kill(signal);
+        },
+      };
+      host.handlesSignals = started
+        .waitForLine(({ msg }) => msg === 'signals are handled')
+        .then(
+          ({ isFirst }) => {
+            entry.handlesFromMs = performance.now();
+            entry.isFirst = isFirst === true;
+          },
+          () => undefined,
+        );
+      void started.exited.then((exit) => (entry.exit = exit));
     },
   };
   return host;
@@ -170,14 +196,16 @@
   for (const { engine, buildRegistration } of engines)
     store.put(`servers/${engine.id}`, buildRegistration());
   const hosts: SoakHost[] = [];
+  const processes: SoakProcess[] = [];
   for (let index = 0; index < options.hosts; index += 1)
-    hosts.push(await createHost(index, store, peerPorts));
+    hosts.push(await createHost(index, store, peerPorts, processes));
   for (const host of hosts) host.start();
   await Promise.all(hosts.map(waitUntilReady));
   return {
     store,
     hosts,
     engines,
+    processes,
     lastRestore: Promise.resolve(),
     close: async () => {
       for (const { process } of hosts) {
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -16,6 +16,10 @@
   storeLink: 'storeLink',
   /** The connections of the other hosts to a host are disturbed. */
   peerLink: 'peerLink',
+  /** Connections of the other hosts to a host take bytes and deliver nothing, also after the fault; kept ones stay silent. */
+  silentPeers: 'silentPeers',
+  /** SIGKILL, then a signal in the first moments of the restarted process. */
+  earlySignal: 'earlySignal',
   /** The connections of all hosts to an engine are disturbed. */
   engineLink: 'engineLink',
   /** The store fails, loses or delays calls. */
@@ -32,6 +36,8 @@
   engineNotice: 'engineNotice',
   /** An engine leaves orders unanswered and carries them out late. */
   lateOrders: 'lateOrders',
+  /** An engine reads orders and never answers them. */
+  engineOrders: 'engineOrders',
   /** The operators write a new version of the configuration. */
   configuration: 'configuration',
   /** The store goes away and comes back from a copy that is some seconds old, in a new epoch. */
@@ -71,6 +77,8 @@
   incarnation: number;
   organisation: string;
   sentAtMs: number;
+  /** When the head of the response arrived. */
+  answeredAtMs?: number;
   endedAtMs: number;
   /** HTTP status; 0 when no response head arrived. */
   status: number;
@@ -113,6 +121,17 @@
   held: { name: string; adapters: string[] }[];
 }
 
+/** A process of a host, the signals that the soak sent to it and how it ended. */
+export interface SoakProcess {
+  host: string;
+  /** When the soak knew that the process handles signals; Infinity until then. */
+  handlesFromMs: number;
+  /** Whether its handlers were set before the modules of the host were loaded. */
+  isFirst?: boolean;
+  signals: { signal: NodeJS.Signals; atMs: number }[];
+  exit?: number | NodeJS.Signals;
+}
+
 /** Everything that callers, stand-ins and the soak itself recorded. */
 export interface SoakRecord {
   requests: SoakRequest[];
@@ -132,6 +151,8 @@
   received: { id: string; engine: string; atMs: number; isRefused: boolean }[];
   /** Planned stops, from the signal to the exit. */
   stops: { host: string; incarnation: number; fromMs: number; toMs: number }[];
+  /** Processes of hosts, as they were when the load ended. */
+  processes: SoakProcess[];
   /** When the last fault ended. */
   calmFromMs: number;
 }
--- a/tests/support/platformEngine.ts
+++ b/tests/support/platformEngine.ts
@@ -34,6 +34,7 @@
   let orderCount = 0;
   let connections = 0;
   let areOrdersDelayed = false;
+  let unanswered: 'ignored' | 'executed' | undefined;
   let born = 1;
   let extraHeaders: Record<string, string | string[]> = {};
   /** Ids of the requests that were refused last on each connection, with the status. */
@@ -47,6 +48,10 @@
   const handleOrder = (order: Record<string, unknown>, response: ServerResponse): void => {
     const { holder, fence } = order as { holder: string; fence: number };
     receivedOrders.push({ atMs: performance.now(), holder, fence });
+    if (unanswered !== undefined) {
+      if (unanswered === 'executed' && order.expect === orderCount) executeOrder(order);
+      return;
+    }
     if (areOrdersDelayed) {
       const bornAtArrival = born;
       response.destroy();
@@ -267,6 +272,9 @@
     setOrdersDelayed: (areDelayed) => {
       areOrdersDelayed = areDelayed;
     },
+    setOrdersUnanswered: (how) => {
+      unanswered = how;
+    },
     restart: () => {
       server.closeAllConnections();
       models.clear();
--- a/tests/support/platformEngineTypes.ts
+++ b/tests/support/platformEngineTypes.ts
@@ -68,6 +68,8 @@
   setExtraHeaders: (headers: Record<string, string | string[]>) => void;
   /** While set, orders get no response and are executed after `ORDER_DELAY_MS`. */
   setOrdersDelayed: (areDelayed: boolean) => void;
+  /** While set, orders are read and get no response; they are ignored or executed at once. */
+  setOrdersUnanswered: (how: 'ignored' | 'executed' | undefined) => void;
   /** Simulates a restart under the same id, with no models loaded and the order count at zero. */
   restart: () => void;
   /** Builds the engine's registration for the store. */
