Let engines turn cold and a data centre be evacuated in the soak

The soak draws two more kinds of faults: engines that turn cold, in place or by a restart, and tell it by their registrations or also in responses (part 2 of docs/hard-load.md), and evacuations of a data centre that are written and removed (part 3). Three of its seven servers are in that data centre now, its engines have cold starts, and the hosts have the setting for evacuations.

In any one second a cold engine gets no more than 1.5 times cold_per_s and 5 requests, from 3 s after it turned cold, or after the end of what was disturbed at that moment. Nothing, commands included, reaches the data centre from 5 s after the key on, by hosts that were in contact until then.

--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -9,6 +9,8 @@
   FaultKind.silentPeers,
   FaultKind.earlySignal,
   FaultKind.engineOrders,
+  FaultKind.engineCold,
+  FaultKind.evacuation,
 ];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) => !LATER_KINDS.includes(kind));
 /** Seeds that failed before, with the cause. */
--- a/tests/soak/applyFault.ts
+++ b/tests/soak/applyFault.ts
@@ -1,7 +1,9 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { EngineBehaviour } from '../support/platformEngine.js';
 import { StoreMode } from '../support/platformStore.js';
+import { applyEngineCold } from './applyEngineCold.js';
 import { buildSoakConfiguration } from './buildSoakConfiguration.js';
+import { EVACUATED_ZONE } from './checkEvacuations.js';
 import { ProxyMode, type Proxy } from './startProxy.js';
 import type { SoakEngine, SoakFleet, SoakHost } from './startSoakFleet.js';
 import { FaultKind, type Fault, type SoakRecord } from './types.js';
@@ -151,6 +153,16 @@
   fleet.store.put(`servers/${engine.id}`, buildRegistration());
 }
 
+/** Evacuates a data centre for a time. */
+async function applyEvacuation(fleet: SoakFleet, record: SoakRecord, forMs: number): Promise<void> {
+  const evacuation = { fromMs: performance.now(), toMs: Infinity };
+  record.evacuations.push(evacuation);
+  fleet.store.put(`op/evacuate/${EVACUATED_ZONE}`, {});
+  await wait(forMs);
+  evacuation.toMs = performance.now();
+  fleet.store.remove(`op/evacuate/${EVACUATED_ZONE}`);
+}
+
 async function applyEngineFailure(
   engine: SoakEngine['engine'],
   failure: EngineBehaviour,
@@ -244,6 +256,10 @@
       await wait(forMs);
       target.engine.setOrdersUnanswered(undefined);
       return;
+    case FaultKind.engineCold:
+      return applyEngineCold(fleet, record, target, fault);
+    case FaultKind.evacuation:
+      return applyEvacuation(fleet, record, forMs);
     case FaultKind.configuration:
       applyConfiguration(fleet, record);
       return;
--- a/tests/soak/buildSoakConfiguration.ts
+++ b/tests/soak/buildSoakConfiguration.ts
@@ -9,6 +9,13 @@
 /** Burst of the limited organisation in tokens. */
 export const LIMITED_BURST = 200_000;
 
+/** The service whose engines start cold. */
+export const COLD_SERVICE = 'llm';
+/** Longest time for which engines are cold. */
+export const COLD_START_MS = 9000;
+/** Requests per second that a cold engine tolerates. */
+export const COLD_PER_S = 8;
+
 /** Builds the path prefix of the route that only this version of the configuration has. */
 export function buildProbePath(version: number): string {
   return `/at-${version}/`;
@@ -21,12 +28,20 @@
 
 /** Builds a version of the configuration: the routes of the tests, and one route and one key that only this version has. */
 export function buildSoakConfiguration(version: number): unknown {
-  const base = buildConfiguration(version) as { routes: object[]; tenants: object[] };
+  const base = buildConfiguration(version) as {
+    routes: object[];
+    services: { name: string }[];
+    tenants: object[];
+  };
+  const coldStarts = { cold_start_s: COLD_START_MS / 1000, cold_per_s: COLD_PER_S };
   const { depots, limited } = SoakOrganisation;
   const unlimited = { plain_tokens: 10, rate_per_s: 0, burst: 0 };
   const rate = { plain_tokens: 10, rate_per_s: LIMITED_RATE, burst: LIMITED_BURST };
   return {
     ...base,
+    services: base.services.map((service) =>
+      service.name === COLD_SERVICE ? { ...service, ...coldStarts } : service,
+    ),
     routes: [
       ...base.routes,
       {
--- a/tests/soak/checkGuarantees.ts
+++ b/tests/soak/checkGuarantees.ts
@@ -1,4 +1,6 @@
 import { LIMITED_BURST, LIMITED_RATE, SoakOrganisation } from './buildSoakConfiguration.js';
+import { checkColdEngines } from './checkColdEngines.js';
+import { checkEvacuations } from './checkEvacuations.js';
 import { checkNotices } from './checkNotices.js';
 import { checkProcesses } from './checkProcesses.js';
 import { checkResponseTimes } from './checkResponseTimes.js';
@@ -273,6 +275,8 @@
     ...checkAdapterSlots(record),
     ...checkDrains(record, requestsById),
     ...checkNotices(record),
+    ...checkColdEngines(record),
+    ...checkEvacuations(record),
     ...checkProcesses(record),
     ...checkResponseTimes(record),
     ...checkRate(record),
--- a/tests/soak/planFaults.ts
+++ b/tests/soak/planFaults.ts
@@ -25,6 +25,8 @@
 const SPANS_MS: Partial<Record<FaultKind, readonly [number, number]>> = {
   [FaultKind.silentPeers]: [1000, 10_000],
   [FaultKind.earlySignal]: [0, 300],
+  [FaultKind.engineCold]: [5000, 9000],
+  [FaultKind.evacuation]: [6000, 15_000],
 };
 const REPEAT_PROBABILITY = 0.25; // probability that a fault hits its target a second time
 const REPEAT_DELAY_MS = 600; // after the end of the first fault
@@ -78,6 +80,8 @@
   [FaultKind.engineNotice]: ['leave', 'limit', 'pause'],
   [FaultKind.lateOrders]: [''],
   [FaultKind.engineOrders]: ['ignored', 'executed'],
+  [FaultKind.engineCold]: ['told', 'registered', 'restarted'],
+  [FaultKind.evacuation]: ['', ''],
   [FaultKind.configuration]: ['', '', ''],
   [FaultKind.restore]: [StoreMode.busy, StoreMode.silent],
 };
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -1,5 +1,6 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import { applyFault } from './applyFault.js';
+import { EVACUATED_ZONE } from './checkEvacuations.js';
 import { checkGuarantees } from './checkGuarantees.js';
 import { planFaults } from './planFaults.js';
 import { startCallers } from './startCallers.js';
@@ -32,8 +33,17 @@
 const RECOVERY_MS = 12_000; // the fleet must serve again within this time after the last fault
 const CHECKED_LOAD_MS = 4000; // load after the recovery time, on which the recovery is checked
 const CALLERS_PER_HOST = 8;
+/** Kinds that change the same thing as another one, and therefore run one after another with it. */
+const SHARED_KINDS: Partial<Record<FaultKind, FaultKind>> = {
+  [FaultKind.silentPeers]: FaultKind.peerLink,
+  [FaultKind.engineCold]: FaultKind.engineNotice,
+};
 /** Faults that cost no host its contact to the store, the peers or the engines. */
-const HARMLESS_KINDS: ReadonlySet<FaultKind> = new Set([FaultKind.reload, FaultKind.configuration]);
+const HARMLESS_KINDS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.reload,
+  FaultKind.configuration,
+  FaultKind.evacuation,
+]);
 /** Faults that disturb all hosts. */
 const FLEET_WIDE_KINDS: ReadonlySet<FaultKind> = new Set([
   FaultKind.store,
@@ -75,6 +85,7 @@
         held: order.held as SoakRecord['orders'][number]['held'],
       });
   }
+  record.processes = structuredClone(fleet.processes);
   record.runs.sort((one, other) => one.atMs - other.atMs);
   record.arrivals.sort((one, other) => one.atMs - other.atMs);
 }
@@ -95,6 +106,11 @@
     restarts: [],
     received: [],
     stops: [],
+    coldSpans: [],
+    evacuations: [],
+    evacuatedEngines: fleet.engines
+      .filter(({ buildRegistration }) => buildRegistration().zone === EVACUATED_ZONE)
+      .map(({ engine }) => engine.id),
     processes: fleet.processes,
     calmFromMs: 0,
   };
@@ -116,9 +132,8 @@
       await wait(Math.max(0, startedAtMs + fault.atMs - performance.now()));
       onFault?.(fault);
       const host = findDisturbedHost(fleet, fault);
-      // Both use the proxy in front of the host.
-      const kind = fault.kind === FaultKind.silentPeers ? FaultKind.peerLink : fault.kind;
-      const key = `${kind}/${fault.target}`;
+      const kind = SHARED_KINDS[fault.kind] ?? fault.kind;
+      const key = kind === FaultKind.evacuation ? kind : `${kind}/${fault.target}`;
       const applyAndRecord = async (): Promise<void> => {
         const disturbance = {
           kind: fault.kind,
@@ -138,7 +153,6 @@
     await wait(RECOVERY_MS + CHECKED_LOAD_MS);
     await callers.stop();
     collectObservations(fleet, record);
-    record.processes = structuredClone(fleet.processes);
     for (const { name, process } of fleet.hosts) logs.set(name, process?.lines.slice(-200) ?? []);
   } finally {
     await fleet.close();
--- a/tests/soak/startSoakFleet.ts
+++ b/tests/soak/startSoakFleet.ts
@@ -5,6 +5,7 @@
 import { startProcess, type RunningProcess } from '../support/processes.js';
 import { waitUntil } from '../support/waitUntil.js';
 import { buildSoakConfiguration } from './buildSoakConfiguration.js';
+import { EVACUATE_MS, EVACUATED_ZONE } from './checkEvacuations.js';
 import { startProxy, type Proxy } from './startProxy.js';
 import type { SoakProcess } from './types.js';
 
@@ -48,6 +49,7 @@
 }
 
 const CLOCK_SHIFT_MODULE = new URL('../../../tests/soak/clockShift.mjs', import.meta.url).pathname;
+const EVACUATED_ENGINES: ReadonlySet<string> = new Set(['engine-2', 'engine-3', 'certs-2']);
 const FIRST_PORT = 20_000;
 const LAST_PORT = 32_000; // the system assigns ephemeral ports from 32,768
 const PORTS_PER_PROCESS = 64;
@@ -125,6 +127,7 @@
         store: `127.0.0.1:${storeProxy.port}`,
         'peer-port': peerPort,
         'metrics-port': metricsPort,
+        'evacuation-delay-ms': EVACUATE_MS,
       };
       const started = startProcess(
         name,
@@ -159,6 +162,7 @@
 async function createEngine(id: string, service: string, models: Record<string, string[]>) {
   const engine = await startPlatformEngine({
     id,
+    zone: EVACUATED_ENGINES.has(id) ? EVACUATED_ZONE : undefined,
     service,
     models,
     events: 8,
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -38,6 +38,10 @@
   lateOrders: 'lateOrders',
   /** An engine reads orders and never answers them. */
   engineOrders: 'engineOrders',
+  /** An engine turns cold, in place or by a restart. */
+  engineCold: 'engineCold',
+  /** The operators evacuate a data centre and revoke that later. */
+  evacuation: 'evacuation',
   /** The operators write a new version of the configuration. */
   configuration: 'configuration',
   /** The store goes away and comes back from a copy that is some seconds old, in a new epoch. */
@@ -153,6 +157,12 @@
   stops: { host: string; incarnation: number; fromMs: number; toMs: number }[];
   /** Processes of hosts, as they were when the load ended. */
   processes: SoakProcess[];
+  /** When engines were cold. */
+  coldSpans: { engine: string; fromMs: number; toMs: number }[];
+  /** Evacuations, from the write of the key to its removal. */
+  evacuations: { fromMs: number; toMs: number }[];
+  /** Servers of the data centre that is evacuated. */
+  evacuatedEngines: string[];
   /** When the last fault ended. */
   calmFromMs: number;
 }
