Let clients exceed the limits in the soak

A few connections to one host now send chunked bodies that are too long, come in tiny chunks, or stop a byte short of their end. These faults excuse no host from any check.

--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -11,6 +11,7 @@
   FaultKind.engineOrders,
   FaultKind.engineCold,
   FaultKind.evacuation,
+  FaultKind.excess,
 ];
 const FIRST_KINDS = Object.values(FaultKind).filter((kind) => !LATER_KINDS.includes(kind));
 /** Seeds that failed before, with the cause. */
--- a/tests/soak/applyFault.ts
+++ b/tests/soak/applyFault.ts
@@ -2,6 +2,7 @@
 import { EngineBehaviour } from '../support/platformEngine.js';
 import { StoreMode } from '../support/platformStore.js';
 import { applyEngineCold } from './applyEngineCold.js';
+import { applyExcess } from './applyExcess.js';
 import { buildSoakConfiguration } from './buildSoakConfiguration.js';
 import { EVACUATED_ZONE } from './checkEvacuations.js';
 import { ProxyMode, type Proxy } from './startProxy.js';
@@ -260,6 +261,8 @@
       return applyEngineCold(fleet, record, target, fault);
     case FaultKind.evacuation:
       return applyEvacuation(fleet, record, forMs);
+    case FaultKind.excess:
+      return applyExcess(host, fault);
     case FaultKind.configuration:
       applyConfiguration(fleet, record);
       return;
--- a/tests/soak/planFaults.ts
+++ b/tests/soak/planFaults.ts
@@ -82,6 +82,7 @@
   [FaultKind.engineOrders]: ['ignored', 'executed'],
   [FaultKind.engineCold]: ['told', 'registered', 'restarted'],
   [FaultKind.evacuation]: ['', ''],
+  [FaultKind.excess]: ['large', 'tiny', 'unfinished'],
   [FaultKind.configuration]: ['', '', ''],
   [FaultKind.restore]: [StoreMode.busy, StoreMode.silent],
 };
--- a/tests/soak/runSoak.ts
+++ b/tests/soak/runSoak.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs';
 import { setTimeout as wait } from 'node:timers/promises';
 import { applyFault } from './applyFault.js';
 import { EVACUATED_ZONE } from './checkEvacuations.js';
@@ -43,6 +44,7 @@
   FaultKind.reload,
   FaultKind.configuration,
   FaultKind.evacuation,
+  FaultKind.excess,
 ]);
 /** Faults that disturb all hosts. */
 const FLEET_WIDE_KINDS: ReadonlySet<FaultKind> = new Set([
@@ -85,6 +87,12 @@
         held: order.held as SoakRecord['orders'][number]['held'],
       });
   }
+  for (const { name, process } of fleet.hosts) {
+    const entry = fleet.processes.findLast(({ host }) => host === name);
+    if (entry === undefined || process === undefined || entry.exit !== undefined) continue;
+    const status = readFileSync(`/proc/${process.pid}/status`, 'utf8');
+    entry.peakMb = Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) / 1024;
+  }
   record.processes = structuredClone(fleet.processes);
   record.runs.sort((one, other) => one.atMs - other.atMs);
   record.arrivals.sort((one, other) => one.atMs - other.atMs);
--- a/tests/soak/types.ts
+++ b/tests/soak/types.ts
@@ -42,6 +42,8 @@
   engineCold: 'engineCold',
   /** The operators evacuate a data centre and revoke that later. */
   evacuation: 'evacuation',
+  /** A few clients send chunked bodies that exceed the limits, or leave them unfinished. */
+  excess: 'excess',
   /** The operators write a new version of the configuration. */
   configuration: 'configuration',
   /** The store goes away and comes back from a copy that is some seconds old, in a new epoch. */
@@ -133,6 +135,8 @@
   /** Whether its handlers were set before the modules of the host were loaded. */
   isFirst?: boolean;
   signals: { signal: NodeJS.Signals; atMs: number }[];
+  /** Most resident memory of a process that ran when the load ended. */
+  peakMb?: number;
   exit?: number | NodeJS.Signals;
 }
 
