--- a/src/serving/createServerPaces/index.ts
+++ b/src/serving/createServerPaces/index.ts
@@ -27,7 +27,7 @@
 
 /** Options of the paces. */
 export interface ServerPacesOptions {
-  /** How much the pace of servers counts in choices; 0, for nothing, by default. */
+  /** How much the pace of servers counts in choices; 0, for no paces at all, by default. */
   weight?: number;
 }
 
@@ -37,6 +37,8 @@
   let fleetPaces: ReadonlyMap<string, ServerPace> = new Map();
   let fleetExcesses: ReadonlyMap<string, ServerPace> = new Map();
   const add = (server: string, sample: Partial<PaceSample>): void => {
+    // Reports and views of paces that nobody uses would take as many bytes as all loads.
+    if (weight === 0) return;
     const older = samples.get(server);
     // Without a leader nobody takes the samples.
     if (older === undefined && samples.size >= MAX_SERVERS) return;
--- a/tests/paceRelative.test.ts
+++ b/tests/paceRelative.test.ts
@@ -70,3 +70,17 @@
   t.equal(paces.getLatencyRatio('a', 1, 0), 1);
   t.end();
 });
+
+// Guards against reports and views that carry paces in deployments that do not use them.
+t.test('without a weight nothing is measured', (t) => {
+  for (const [weight, samples] of [
+    [0, 0],
+    [1, 1],
+  ] as const) {
+    const paces = createServerPaces({ weight });
+    paces.recordStream('e1', true);
+    paces.recordFirstByteDelay('e1', 300, 100);
+    t.equal(paces.takeSamples().size, samples);
+  }
+  t.end();
+});
