Run the tests of memory and descriptors one at a time

The list of these tests grew from one file to three, and tap ran them beside each other: each starts hosts and crowds whose memory is bounded. They now run one after the other.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -71,7 +71,7 @@
 
 const isSeparate = (path) => SEPARATE_FILES.includes(path);
 await runFiles(files.filter((path) => !isSeparate(path)));
-await runFiles(files.filter(isSeparate));
+for (const path of files.filter(isSeparate)) await runFiles([path]);
 
 const isKnown = ({ fullName }) => knownRed.some((red) => fullName.startsWith(red));
 const failedTests = failures.filter(({ isTest }) => isTest);
