Look for callers that have left before the choice of a server

Cause: waitForPoll stood between the choice of a server and the count of the request, so that requests that arrive together all chose before the first of them counted.

The poll is waited for before the choice, and again only if the choice took more than 10 ms, as a wait may end before the input is read.

--- a/src/serving/serveRequest/index.ts
+++ b/src/serving/serveRequest/index.ts
@@ -27,6 +27,7 @@
 import { waitInQueue } from './_lib/waitInQueue.js';
 import { recordPace, startTracking } from './_lib/startTracking.js';
 
+const MAX_CHOICE_MS = 10; // without a wait, a choice takes far less; a wait may end before the input is read
 const MAX_SENDS = 5; // a refusal costs a round trip, and further servers rarely have capacity either
 const DEFAULT_RETRY_AFTER_MS = 1000; // servers register and deregister within seconds
 /** Nothing changes for the prompt until operators have acted, so that a sooner return is in vain. */
@@ -197,6 +198,10 @@
   const { request, response } = state;
   for (;;) {
     if (await refuseQuarantined(state)) return;
+    // The caller may have left while this process was behind. Not after the choice: requests that arrive
+    // together would all choose before the first of them counts.
+    await waitForPoll();
+    const chosenFromMs = state.context.clock.monotonicMs();
     await state.context.refreshServers(response.signal);
     const selection = await chooseServer(state);
     if (response.signal.aborted) {
@@ -221,8 +226,7 @@
     if (admission === ServerAdmission.chooseAgain || isAborted(response.signal)) continue;
     // The data centre may have been evacuated, and this process paused, while the request waited.
     await state.context.refreshServers(response.signal);
-    // The caller may have left in that time, also where nothing had to be waited for.
-    await waitForPoll();
+    if (state.context.clock.monotonicMs() - chosenFromMs > MAX_CHOICE_MS) await waitForPoll();
     if (state.context.evacuations.isEvacuated(selection.server.dataCentre)) continue;
     if (isAborted(response.signal)) continue;
     if (!(await runOnServer(state, selection))) return;
