Spread what hosts do after a lost leader and a revoked evacuation

All hosts ended their concurrency limits 4 s after the last view, and returned to the servers of a revoked evacuation 2 s after it, each at one moment: their queues and their whole load would have reached the engines at once.

Shared prompt parts are hashed by the function that the other messages use.

--- a/src/programs/fleetEntry/startFleetEntry/_lib/createLoadControl.ts
+++ b/src/programs/fleetEntry/startFleetEntry/_lib/createLoadControl.ts
@@ -31,6 +31,7 @@
   const { load } = settings;
   const concurrency = createConcurrencyLimits({
     clock,
+    random: options.random,
     lateShare: load.concurrencyLateShare,
     getTokensPerEvent: (service) => findEngines(service)?.tokensPerEvent ?? 1,
   });
--- a/src/serving/createConcurrencyLimits/index.ts
+++ b/src/serving/createConcurrencyLimits/index.ts
@@ -1,6 +1,6 @@
 import { addHeldTokens, type HeldTokens } from '../../decisions/concurrency/addHeldTokens/index.js';
 import type { ConcurrencyLimit } from '../../decisions/concurrency/types.js';
-import { hashRendezvous } from '../../decisions/routing/hashRendezvous/index.js';
+import { hashPart } from '../../decisions/prefixCache/hashPart/index.js';
 import { countEvents } from '../../decisions/serving/countEvents/index.js';
 import type { SharedPromptPart } from '../../decisions/serving/types.js';
 import type { Clock } from '../../ports/clock.js';
@@ -54,10 +54,13 @@
   lateShare: number;
   /** Tokens in one event of a stream of a service. */
   getTokensPerEvent: (service: string) => number;
+  random: () => number;
 }
 
-/** Age from which limits have no effect: the leader sends them once a second. */
+/** Age from which limits have no effect at the first hosts: the leader sends them once a second. */
 export const MAX_LIMIT_AGE_MS = 4000;
+/** Time over which the limits end at all hosts, whose queues would be sent at one moment otherwise. */
+const EXPIRY_SPREAD_MS = 2000;
 const MAX_SERVERS = 10_000; // far more than the servers of a fleet
 
 const NOTHING_HELD: HeldRequest = { addEvents: () => undefined, release: () => undefined };
@@ -70,7 +73,8 @@
 
 /** Creates the limits of a host that knows none yet. */
 export function createConcurrencyLimits(options: ConcurrencyLimitsOptions): ConcurrencyLimits {
-  const { clock, lateShare, getTokensPerEvent } = options;
+  const { clock, lateShare, getTokensPerEvent, random } = options;
+  const maximumAgeMs = MAX_LIMIT_AGE_MS + EXPIRY_SPREAD_MS * random();
   const memory = new Map<string, ServerMemory>();
   let streams = new Map<string, [number, number]>();
   let limits: ReadonlyMap<string, ConcurrencyLimit> = new Map();
@@ -78,7 +82,7 @@
   let remoteHeld: SentConcurrencyView = { held: {}, ownHeld: {} };
   let notify = (): void => undefined;
   let expiryTimer: NodeJS.Timeout | undefined;
-  const isCurrent = (): boolean => clock.monotonicMs() - limitsAtMs < MAX_LIMIT_AGE_MS;
+  const isCurrent = (): boolean => clock.monotonicMs() - limitsAtMs < maximumAgeMs;
 
   const describeHeld = ({ ownTokens, parts }: ServerMemory): HeldTokens => ({
     ownTokens,
@@ -97,9 +101,7 @@
       };
       memory.set(server, held);
       held.requests += 1;
-      const shared = new Map(
-        sharedParts.map(({ key, tokens }) => [hashRendezvous(key, ''), tokens]),
-      );
+      const shared = new Map(sharedParts.map(({ key, tokens }) => [hashPart(key), tokens]));
       for (const [hash, tokens] of shared) {
         const part = held.parts.get(hash) ?? { tokens, requests: 0 };
         part.requests += 1;
@@ -154,7 +156,7 @@
           limitsAtMs = clock.monotonicMs();
           clearTimeout(expiryTimer);
           // Whoever waits for a server below its limit goes on without limits.
-          expiryTimer = setTimeout(() => notify(), MAX_LIMIT_AGE_MS);
+          expiryTimer = setTimeout(() => notify(), maximumAgeMs);
           expiryTimer.unref();
         }
       }
--- a/src/serving/createServerNotices/_lib/createColdStates.ts
+++ b/src/serving/createServerNotices/_lib/createColdStates.ts
@@ -100,7 +100,9 @@
     const listAgeMs = contact.getListAgeMs();
     if (listAgeMs > MAX_LIST_AGE_MS && !contact.isLed()) return true;
     const completeAsOfMs = clock.monotonicMs() - listAgeMs;
-    if (completeAsOfMs < (state?.revokedAtMs ?? -Infinity) + RENEWAL_MS) return true;
+    // With the random part, or all hosts would turn to the idle servers at one moment.
+    const revokedAtMs = (state?.revokedAtMs ?? -Infinity) + (state?.shiftMs ?? 0);
+    if (completeAsOfMs < revokedAtMs + RENEWAL_MS) return true;
     if (state?.disconnectedAtMs === undefined) return false;
     // Another process may have started in its place.
     const sinceMs = clock.monotonicMs() - state.disconnectedAtMs;
--- a/src/serving/createServerNotices/test.ts
+++ b/src/serving/createServerNotices/test.ts
@@ -236,7 +236,7 @@
     t.ok(notices.isCold('s1/1'));
     t.equal(notices.getRequestLimit('s1/1'), 8);
     t.notOk(uncapped.isCold('s1/1'), 'its service has no limit for cold servers');
-    nowMs = 12_100;
+    nowMs = 12_900; // 2 s and the random part of this host, 0.75 s, with a list that is 0.2 s old
     t.ok(notices.isCold('s1/1'), 'the list may lack a registration that was written since');
     listAgeMs = 50;
     t.notOk(notices.isCold('s1/1'));
--- a/tests/hostQueue.test.ts
+++ b/tests/hostQueue.test.ts
@@ -115,6 +115,7 @@
     clock: systemClock,
     lateShare: 0.1,
     getTokensPerEvent: () => 1,
+    random: () => 0,
   });
   const queue = createHostQueue({ clock: systemClock, maximumLength: 4 });
   limits.onChange(queue.wake);
