--- a/src/adapters/peer/frames.ts
+++ b/src/adapters/peer/frames.ts
@@ -9,9 +9,14 @@
 const encoder = new Encoder({ useRecords: false, mapsAsObjects: true });
 const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
 
-/** Encodes a message as a 4-byte big-endian length and a CBOR body. */
+/** CBOR would carry the names of fields that are undefined, several of them in each report and view. */
+function dropUndefined(message: object): object {
+  return Object.fromEntries(Object.entries(message).filter(([, value]) => value !== undefined));
+}
+
+/** Encodes a message as a 4-byte big-endian length and a CBOR body; fields that are undefined are left out. */
 export function encodeFrame(message: object): Buffer {
-  const body = encoder.encode(message);
+  const body = encoder.encode(dropUndefined(message));
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
   frame.writeUInt32BE(body.length, 0);
   body.copy(frame, LENGTH_BYTES);
--- a/src/adapters/peer/test.ts
+++ b/src/adapters/peer/test.ts
@@ -4,7 +4,7 @@
 import { createFrameReader, encodeFrame } from './frames.js';
 import { parsePeerMessage } from './messages.js';
 
-const request: PeerMessage = { type: 'loanRequest', id: 'a', organisation: 'dryline', units: 5 };
+const request: PeerMessage = { type: 'loanRequest', id: 'a', organisation: 'acme', units: 5 };
 
 t.test('reads frames regardless of how the bytes are split into chunks', (t) => {
   const property = fc.property(
@@ -23,6 +23,12 @@
   t.end();
 });
 
+// Guards against reports and views that name each optional field without having it.
+t.test('leaves out fields that are undefined', (t) => {
+  t.same(encodeFrame({ ...request, limits: undefined }), encodeFrame(request));
+  t.end();
+});
+
 t.test('rejects an oversized frame and one that contains no valid message', (t) => {
   t.throws(() => createFrameReader(parsePeerMessage, 8)(encodeFrame(request)), {
     name: 'PeerProtocolError',
--- a/src/serving/prefixMessages.ts
+++ b/src/serving/prefixMessages.ts
@@ -24,7 +24,8 @@
     const free = Math.min(MAX_USES_PER_SERVER - list.length, maximum - total);
     if (free <= 0) continue;
     const added = hashes.slice(0, free);
-    all.set(server, list.concat(added));
+    list.push(...added);
+    all.set(server, list);
     total += added.length;
   }
   return total;
