--- a/src/decisions/replicas/planReplicaMove/index.ts
+++ b/src/decisions/replicas/planReplicaMove/index.ts
@@ -133,11 +133,11 @@
  * unloaded: a model without requests yet may be the busiest one. Returns undefined when no move is
  * worth its cost. Made for demand that shifts within seconds to models with one replica or none,
  * while other models are rarely requested: the last replica of a model that is hardly requested
- * makes room for one whose engines are all busy, as most of the memory may be taken by such models. Engines with long prompts
- * are late long before their slots are taken: where prompts wait at all engines of a model, the last replica of one that nobody
- * requests makes room for it. Without `mayLoadRare` the
- * free engines are left to models in demand: an engine carries out one load at a time, so that rare
- * models which are asked for at once would occupy all engines for seconds.
+ * makes room for one whose engines are all busy, as most of the memory may be taken by such models.
+ * Engines with long prompts are late long before their slots are taken: where prompts wait at all
+ * engines of a model, the last replica of one that nobody requests makes room for it. Without
+ * `mayLoadRare` the free engines are left to models in demand: an engine carries out one load at a time,
+ * so that rare models which are asked for at once would occupy all engines for seconds.
  *
  * An engine that is still cold once the model is loaded is used only for a model that is requested and
  * loaded nowhere, and only where no warm engine has room for it: while half of the engines are cold,
