--- a/src/adapters/backendServer/index.ts
+++ b/src/adapters/backendServer/index.ts
@@ -175,8 +175,9 @@
 const FIRST_RESERVATION_BYTES = 65_536; // of a response that announces no length
 
 /**
- * Reads a complete response body, after `reserveMemory` has resolved for its length. Rejects with BackendServerError when the body is truncated or over
- * the limit, and when it has no framing by which a truncation could be detected.
+ * Reads a complete response body, after `reserveMemory` has resolved for its length. Rejects with
+ * BackendServerError when the body is truncated or over the limit, and when it has no framing by which
+ * a truncation could be detected.
  */
 export async function readResponseBody(
   response: BackendResponse,
--- a/src/adapters/callerHttp/createClientGuard/_lib/createBodyReader.ts
+++ b/src/adapters/callerHttp/createClientGuard/_lib/createBodyReader.ts
@@ -131,7 +131,7 @@
           if (!wasOpen) return;
           if (isFragmented) fragmentedBodies -= 1;
           // What a listener or the buffer still refers to outlives many requests: it is moved to the old
-          // generation of the heap, whose collections then cost up to 40 % of the time of a request.
+          // generation of the heap, whose collections cost far more than those of the young one.
           incoming.off('data', handleChunk);
           incoming.off('end', handleEnd);
           incoming.off('error', handleCut);
--- a/src/coordination/createRateLimiter/test.ts
+++ b/src/coordination/createRateLimiter/test.ts
@@ -3,8 +3,8 @@
 import { computeLendableBurst, toUnits } from '../../decisions/rate/convertTokens/index.js';
 import { createRateLimiter, type RateLimiter, type RateLimiterOptions } from './index.js';
 
-const dryline = { name: 'dryline', rate: 1000, burst: 500 };
-const lendableBurst = computeLendableBurst(dryline.rate, dryline.burst);
+const acme = { name: 'acme', rate: 1000, burst: 500 };
+const lendableBurst = computeLendableBurst(acme.rate, acme.burst);
 
 interface TestClock {
   nowMs: number;
@@ -28,21 +28,21 @@
     },
     ...change,
   });
-  limiter.setOrganisations([dryline]);
+  limiter.setOrganisations([acme]);
   limiter.setLeaseExpiry(1_000_000);
-  limiter.addSlots(slots, { dryline: toUnits(lendableBurst) });
+  limiter.addSlots(slots, { acme: toUnits(lendableBurst) });
   return limiter;
 }
 
 const admit = (limiter: RateLimiter, tokens: number, deadlineAtMs = 0) =>
-  limiter.admit({ organisation: 'dryline', tokens, deadlineAtMs });
+  limiter.admit({ organisation: 'acme', tokens, deadlineAtMs });
 
 t.test('admits up to the burst and then refuses with a retry time', async (t) => {
   const limiter = createLimiter({ nowMs: 0 });
   t.ok((await admit(limiter, lendableBurst)).admitted);
   const refused = await admit(limiter, 100);
   t.match(refused, { admitted: false, reason: 'rateExceeded', retryAfterMs: 100 });
-  t.match(await admit(limiter, dryline.burst), { reason: 'exceedsBurst' });
+  t.match(await admit(limiter, acme.burst), { reason: 'exceedsBurst' });
 });
 
 t.test('queues a request until tokens are refilled within its deadline', async (t) => {
@@ -60,7 +60,7 @@
     first.admission.settle(100);
     first.admission.settle(0);
   }
-  t.equal(limiter.getLevels().dryline, toUnits(lendableBurst - 100));
+  t.equal(limiter.getLevels().acme, toUnits(lendableBurst - 100));
 });
 
 t.test('borrows missing units and settles the loan with the units used', async (t) => {
@@ -103,7 +103,7 @@
   limiter.setLeaseExpiry(1000);
   clock.nowMs = 1000;
   t.equal(
-    limiter.grantLoan({ type: 'loanRequest', id: 'x', organisation: 'dryline', units: 5 }).units,
+    limiter.grantLoan({ type: 'loanRequest', id: 'x', organisation: 'acme', units: 5 }).units,
     0,
   );
   t.notOk((await admit(limiter, 1)).admitted);
--- a/src/decisions/admission/computeServicePressure/index.ts
+++ b/src/decisions/admission/computeServicePressure/index.ts
@@ -1,4 +1,4 @@
-import { PROMPT_TOKENS_PER_MS } from '../../serving/constants.js';
+import { PROMPT_TOKENS_PER_MS, USABLE_MEMORY_FRACTION } from '../../serving/constants.js';
 import type { EngineLoad } from '../types.js';
 
 /** Targets and recent streams of a service. */
@@ -11,7 +11,6 @@
   lateShare: number;
 }
 
-const USABLE_MEMORY_FRACTION = 0.9; // leaves room for running requests that grow
 // The border is a backlog of 1.5 targets while no stream is late, as waiting tokens see long prompts more
 // often than callers do, and 0.75 of the target with many late ones.
 const CALM_WEIGHT = 0.67;
--- a/src/decisions/admission/isCapacityFree/index.ts
+++ b/src/decisions/admission/isCapacityFree/index.ts
@@ -1,8 +1,7 @@
-import { PROMPT_TOKENS_PER_MS } from '../../serving/constants.js';
+import { PROMPT_TOKENS_PER_MS, USABLE_MEMORY_FRACTION } from '../../serving/constants.js';
 import type { ServerCandidate } from '../../serving/types.js';
 
 const FREE_SLOT_FRACTION = 0.5;
-const USABLE_MEMORY_FRACTION = 0.9; // leaves room for running requests that grow
 const FREE_BACKLOG_MS = 50; // a prompt that is being processed counts as backlog, but nobody waits for it
 
 /**
--- a/src/decisions/bundle/checkBundle/test.ts
+++ b/src/decisions/bundle/checkBundle/test.ts
@@ -10,7 +10,7 @@
 adapters:
   - { name: depot, version: v1, model: oak, bytes: 5 }
 organisations:
-  - { name: dryline, rate: 1000, burst: 2000, keys: [] }
+  - { name: acme, rate: 1000, burst: 2000, keys: [] }
 limits: { loadsPerSecond: 2, loadsAtOnce: 3, adaptersInFlight: 24 }
 `;
 
@@ -61,7 +61,7 @@
   const bundleWithSharedKey = validBundle
     .replace(
       'organisations:\n',
-      `organisations:\n  - { name: lijado, rate: 1000, burst: 2000, keys: ["${digest}"] }\n`,
+      `organisations:\n  - { name: globex, rate: 1000, burst: 2000, keys: ["${digest}"] }\n`,
     )
     .replace('keys: [] }', `keys: ["${digest}"] }`);
   t.strictSame(listFindings(bundleWithSharedKey), ['10 organisations[1].keys[0]']);
--- a/src/decisions/clientLimits/chooseBodyToEnd/index.ts
+++ b/src/decisions/clientLimits/chooseBodyToEnd/index.ts
@@ -3,9 +3,9 @@
 const NO_PROGRESS_MS = 1000; // longer than the pauses of callers on working links
 
 /**
- * Chooses the body, or answer that is not read, to end when the memory is exhausted: among those without progress, the one that
- * stands still longest, and of equal ones the largest. Undefined when all make progress. Addresses
- * bodies that hold memory without an end in sight, and clients that do not read.
+ * Chooses the body, or the answer that is not read, to end when the memory is exhausted: among those
+ * without progress the one that stands still longest, and of equal ones the largest. Undefined when all
+ * make progress. Addresses bodies that hold memory without an end in sight, and clients that do not read.
  */
 export function chooseBodyToEnd<T extends Pick<BodyProgress, 'progressAtMs' | 'reservedBytes'>>(
   bodies: Iterable<T>,
--- a/src/decisions/concurrency/updateConcurrencyLimit/index.ts
+++ b/src/decisions/concurrency/updateConcurrencyLimit/index.ts
@@ -1,3 +1,4 @@
+import { USABLE_MEMORY_FRACTION } from '../../serving/constants.js';
 import type { ConcurrencyObservation, LearnedLimit } from '../types.js';
 
 /** Streams that have to end before the limit is learned from them. */
@@ -5,7 +6,6 @@
 
 const MIN_REQUESTS = 4; // an engine with fewer leaves most of each step unused
 const MIN_MEMORY_FRACTION = 0.3; // the longest prompts still fit
-const MAX_MEMORY_FRACTION = 0.9; // running requests grow until the next view
 const REQUEST_DECREASE = 0.8;
 const MEMORY_DECREASE = 0.9; // a smaller part of the requests is preempted than is late for many prompts
 const MEMORY_INCREASE = 0.02;
@@ -13,15 +13,15 @@
 const UNUSED_FACTOR = 1.5;
 const USED_FRACTION = 0.8; // below it, streams on time do not show that more would be
 const DECREASE_INTERVAL_MS = 3000; // streams that began before the decrease have ended
-const MAX_VAIN_DECREASES = 3; // half of the requests
+const MAX_INEFFECTIVE_DECREASES = 3; // half of the requests
 const EFFECTIVE_FRACTION = 0.8;
-const VAIN_HOLD_MS = 30_000;
+const UNLIMITED_MS = 30_000; // until decreases are tried again
 
 /** Builds the limit of a server of which nothing is known. */
 export function buildFirstLimit(slots: number, memoryTokens: number): LearnedLimit {
   return {
     requests: slots,
-    tokens: MAX_MEMORY_FRACTION * memoryTokens,
+    tokens: USABLE_MEMORY_FRACTION * memoryTokens,
     decreases: 0,
     shareBefore: 0,
     heldUntilMs: -Infinity,
@@ -31,12 +31,12 @@
 function computeLowerLimit(limit: LearnedLimit, observation: ConcurrencyObservation): LearnedLimit {
   const { streams, lateStreams, active, heldTokens, memoryTokens, nowMs } = observation;
   const share = lateStreams / streams;
-  const isVain =
-    limit.decreases >= MAX_VAIN_DECREASES && share > EFFECTIVE_FRACTION * limit.shareBefore;
-  if (isVain)
+  const isIneffective =
+    limit.decreases >= MAX_INEFFECTIVE_DECREASES && share > EFFECTIVE_FRACTION * limit.shareBefore;
+  if (isIneffective)
     return {
       ...buildFirstLimit(observation.slots, memoryTokens),
-      heldUntilMs: nowMs + VAIN_HOLD_MS,
+      heldUntilMs: nowMs + UNLIMITED_MS,
     };
   const next = {
     ...limit,
@@ -79,7 +79,7 @@
     decreases: 0,
     requests: Math.min(slots, limit.requests + (isRequestsUsed ? 1 : 0)),
     tokens: Math.min(
-      MAX_MEMORY_FRACTION * memoryTokens,
+      USABLE_MEMORY_FRACTION * memoryTokens,
       limit.tokens + (isMemoryUsed ? MEMORY_INCREASE * memoryTokens : 0),
     ),
   };
--- a/src/decisions/pace/computeSlowStreamCost/index.ts
+++ b/src/decisions/pace/computeSlowStreamCost/index.ts
@@ -6,8 +6,7 @@
   hasPauseTarget: boolean;
 }
 
-// With 1,500 ms, the first events on the other engines of a replay near its capacity became late; see
-// docs/design/pace-of-servers.md.
+// Below the time by which first events become late on the other engines when these are near their capacity.
 const SLOW_STREAM_MS = 500;
 
 /**
--- a/src/decisions/queue/chooseNextRequest/test.ts
+++ b/src/decisions/queue/chooseNextRequest/test.ts
@@ -6,7 +6,7 @@
 
 const waiting = (id: string, change: Partial<WaitingRequest> = {}): WaitingRequest => ({
   id,
-  organisation: 'dryline',
+  organisation: 'acme',
   class: RequestClass.standard,
   enqueuedAtMs: 0,
   deadlineAtMs: 10_000,
--- a/src/decisions/serving/rankServers/index.ts
+++ b/src/decisions/serving/rankServers/index.ts
@@ -3,14 +3,13 @@
 import { computeCopyCost } from '../../prefixCache/computeCopyCost/index.js';
 import { computeKnownTokens } from '../../prefixCache/computeKnownTokens/index.js';
 import { hashRendezvous } from '../../routing/hashRendezvous/index.js';
-import { PROMPT_TOKENS_PER_MS } from '../constants.js';
+import { PROMPT_TOKENS_PER_MS, USABLE_MEMORY_FRACTION } from '../constants.js';
 import { computeColdDelayMs } from '../computeColdDelayMs/index.js';
 import { computeWorkWeight } from '../computeWorkWeight/index.js';
 import type { RankedServer, RoutedRequest, ServerCandidate } from '../types.js';
 
 const FULL_BATCH_DELAY_MS = 150; // a full batch delays the first token by some 25 steps of 5.5 ms
 const MEMORY_OVERCOMMIT_MS = 3000; // a preempted request is processed again from its start
-const USABLE_MEMORY_FRACTION = 0.9; // leaves room for running requests that grow
 const ADAPTER_LOAD_MS = 30; // order, transfer and two messages
 const FAILURE_COST_MS = 4000; // a failed attempt costs about as much as a retry by the caller
 const REMOTE_DATA_CENTRE_MS = 4; // round trip to another data centre, and the transfer
--- a/src/serving/createFleetMember/index.ts
+++ b/src/serving/createFleetMember/index.ts
@@ -1,25 +1,16 @@
 import { chooseStandbys } from '../../decisions/leadership/chooseStandbys/index.js';
 import { computeStartGraces } from '../../decisions/leadership/computeStartGraces/index.js';
 import { isLeaveAdded } from '../../decisions/serving/isLeaveAdded/index.js';
-import { decodeRevision } from '../../decisions/storeEpochs/decodeRevision/index.js';
 import { formatError } from '../../errors/index.js';
 import type { BackendServer, ServingConfiguration } from '../../ports/serving.js';
-import { applyPaces } from '../paceMessages.js';
 import { createFleetTransport, type FleetConnection } from '../createFleetTransport/index.js';
-import {
-  type FleetLevelsMessage,
-  type FleetMessage,
-  type FleetReport,
-  type FleetView,
-  type SentRequestLimit,
-} from '../fleetMessages.js';
+import { type FleetMessage, type FleetReport, type SentRequestLimit } from '../fleetMessages.js';
 import { decodeColdTimes } from '../coldTimeMessages.js';
 import { decodeRequestLimits } from '../requestLimitMessages.js';
 import { startFleetLeader, type FleetLeader } from '../startFleetLeader/index.js';
 import type { FleetMember, FleetMemberOptions } from './types.js';
 import { decodeConfigurationValue } from './_lib/configurationValue.js';
 import { createConfigurationExchange } from './_lib/createConfigurationExchange.js';
-import { computeOtherHostsLoads } from './_lib/computeOtherHostsLoads.js';
 import { createLeaderFeeds } from './_lib/createLeaderFeeds.js';
 import { createAdmissionUpdates } from './_lib/createAdmissionUpdates.js';
 import { createAdapterRequests } from './_lib/createAdapterRequests.js';
@@ -29,6 +20,7 @@
 import { createReportLog } from './_lib/createReportLog.js';
 import { createRequestLimiter } from './_lib/createRequestLimiter.js';
 import { collectReport } from './_lib/collectReport.js';
+import { createViewReader } from './_lib/createViewReader.js';
 import { createWatchTimes } from './_lib/createWatchTimes.js';
 import { createUsageTracker } from './_lib/createUsageTracker.js';
 
@@ -37,8 +29,7 @@
 
 /** Creates this host's member of the fleet. */
 export function createFleetMember(options: FleetMemberOptions): FleetMember {
-  const { clock, log, serverRegistry, serverNotices, serverPaces, rateLimiter, retryBudget, host } =
-    options;
+  const { clock, log, serverRegistry, serverNotices, rateLimiter, host } = options;
   let leader: FleetLeader | undefined;
   let configuration: ServingConfiguration | undefined;
   let servers: ReadonlyMap<string, BackendServer> = new Map();
@@ -51,8 +42,6 @@
     startGraceMs: graces.changesMs,
     leadershipGraceMs: graces.leadershipMs,
   });
-  /** When models that are being loaded are expected to be ready, by `SERVICE/MODEL`. */
-  let modelReadyAtMs: ReadonlyMap<string, number> = new Map();
   const watchTimes = createWatchTimes(clock, options.freshness.watchTimeoutMs);
   let registeredHosts: readonly string[] = [];
   /** When the hosts of earlier lists were last seen registered. */
@@ -93,39 +82,14 @@
   const recordLimits = (sent: readonly SentRequestLimit[]): void =>
     serverNotices.recordLimits(decodeRequestLimits(sent, clock.monotonicMs()));
 
-  const applyView = (view: FleetView): void => {
-    const nowMs = clock.monotonicMs();
-    feeds.recordView(view);
-    serverRegistry.setRemoteLoads(computeOtherHostsLoads(view));
-    serverRegistry.recordRemoteUses(view.prefixUses ?? {});
-    serverRegistry.updateAdapters(
-      new Map(Object.entries(view.adapters).map(([server, list]) => [server, new Set(list)])),
-    );
-    serverRegistry.setUnloadingModels(new Set(view.leavingModels));
-    serverRegistry.setSuspects(new Set(view.suspects));
-    if (view.limits !== undefined) recordLimits(view.limits);
-    applyPaces(view, serverPaces);
-    options.admission.setLevels(view.admission);
-    options.concurrency.applyView(view.concurrency);
-    if (view.quarantine !== undefined) quarantine.evidence.setQuarantine(view.quarantine, 'leader');
-    modelReadyAtMs = new Map(
-      Object.entries(view.loadingMs).map(([name, remainingMs]) => [name, nowMs + remainingMs]),
-    );
-    if (leader === undefined) {
-      const { evacuations } = view;
-      if (evacuations !== undefined)
-        options.evacuations.applySent(
-          evacuations,
-          reports.findCompleteAsOf({ ...view, serversAgeMs: evacuations.ageMs }),
-        );
-      if (view.isSnapshot || view.servers.length + view.removed.length > 0)
-        options.onServers({ ...view, epoch: decodeRevision(view.fence).epoch });
-      const asOf = reports.findCompleteAsOf(view);
-      if (asOf !== undefined) options.listAge.recordComplete(asOf);
-    }
-    applyLevels(view);
-    for (const part of [retryBudget, rateLimiter, serverRegistry]) part.setHostCount(view.hosts);
-  };
+  const views = createViewReader({
+    ...options,
+    feeds,
+    reports,
+    quarantine,
+    isLeading: () => leader !== undefined,
+    recordLimits,
+  });
 
   const handleConfiguration = (value: Uint8Array): void => {
     try {
@@ -137,9 +101,9 @@
 
   const handleLeaderMessage = (message: FleetMessage, connection: FleetConnection): void => {
     if (message.type === 'view') {
-      applyView(message);
+      views.apply(message);
       configurations.requestNewer(connection, message.version);
-    } else if (message.type === 'levels') applyLevels(message);
+    } else if (message.type === 'levels') views.applyLevels(message);
     else if (message.type === 'grant') adapterRequests.settle(message);
     else if (message.type === 'trialReply') quarantine.settleTrial(message);
     else if (message.type === 'reservation') requestLimiter.settle(message);
@@ -198,17 +162,10 @@
     const standbys = chooseStandbys(registered.filter(({ name }) => connections.has(name)));
     for (const [name, connection] of connections)
       connection.send({ ...buildView(name), isStandby: standbys.has(name) });
-    applyView({ ...buildView(host), isStandby: false });
+    views.apply({ ...buildView(host), isStandby: false });
   };
   const roundTimer = setInterval(runRound, ROUND_INTERVAL_MS);
 
-  const applyLevels = (message: Omit<FleetLevelsMessage, 'type'>): void =>
-    rateLimiter.setFleetLevels({
-      levels: new Map(Object.entries(message.levels)),
-      reportedAdmissions: new Map(Object.entries(message.ownAdmitted)),
-      shares: new Map(Object.entries(message.shares)),
-    });
-
   const admissionUpdates = createAdmissionUpdates({
     clock,
     rateLimiter,
@@ -216,7 +173,7 @@
     connections,
     getLeader: () => leader,
     sendToLeader: transport.sendToLeader,
-    applyLevels,
+    applyLevels: views.applyLevels,
   });
 
   const isPlacementAvailable = (): boolean => feeds.getViewAgeMs() < MAX_VIEW_AGE_MS;
@@ -228,7 +185,7 @@
     getLeader: () => leader,
     isLed: isPlacementAvailable,
     getConfiguration: () => configuration,
-    findReadyAtMs: (key) => modelReadyAtMs.get(key),
+    findReadyAtMs: views.findReadyAtMs,
     recordDemand: usage.recordDemand,
   });
 
--- a/src/serving/createServerRegistry/index.ts
+++ b/src/serving/createServerRegistry/index.ts
@@ -11,18 +11,11 @@
   createEntry,
   NO_LOAD,
   recordCacheLoad,
-  recordProcessed,
   type Entry,
   type PrefixCacheOptions,
 } from './_lib/entry.js';
-import {
-  computeFailureRate,
-  computeOrdinaryDelay,
-  isSilent,
-  isUnreachable,
-  recordFirstByteDelay,
-  recordOutcome,
-} from './_lib/serverHealth.js';
+import { computeFailureRate, isSilent, isUnreachable } from './_lib/serverHealth.js';
+import { addTrackedRequest } from './_lib/addTrackedRequest.js';
 import type { ListCandidatesOptions, ServerLoad, ServerRegistry } from './types.js';
 
 export { ServerOutcome } from './_lib/serverHealth.js';
@@ -30,6 +23,7 @@
 
 const MISSING_MODEL_EXPIRY_MS = 1500; // a newer report of the engine has arrived by then
 const OVERRIDE_EXPIRY_MS = 2000; // the engine has reported its adapters again by then
+
 /** Creates the server registry of this host. */
 export function createServerRegistry(options: {
   clock: Clock;
@@ -222,57 +216,22 @@
     recordMissingModel: (id, model) => {
       entries.get(id)?.missingModels.set(model, clock.monotonicMs() + MISSING_MODEL_EXPIRY_MS);
     },
-    trackRequest: (id, { backlogTokens, reservedTokens, isUrgent, delayMs, sharedParts }) => {
+    trackRequest: (id, request) => {
       const entry = entries.get(id);
-      const startedAtMs = clock.monotonicMs();
       if (entry === undefined)
         return {
           recordBytes: () => undefined,
           recordFirstBytes: () => undefined,
           release: () => undefined,
         };
-      const { load } = entry;
-      const isCold = getColdMs(entry.server.incarnation) > 0;
-      if (load.active === 0) entry.health.busySinceMs = startedAtMs;
-      load.active += 1;
-      load.backlogTokens += backlogTokens;
-      if (isUrgent) load.urgentBacklogTokens += backlogTokens;
-      load.reservedTokens += reservedTokens;
-      const latencyRatio = findLatencyRatio(entry);
-      if (entry.agedCache !== undefined) prefixUses.recordOwn(id, hashParts(sharedParts));
-      let isInBacklog = true;
-      const leaveBacklog = (): void => {
-        if (!isInBacklog) return;
-        isInBacklog = false;
-        load.backlogTokens -= backlogTokens;
-        if (isUrgent) load.urgentBacklogTokens -= backlogTokens;
-      };
-      return {
-        recordBytes: () => {
-          entry.health.lastBytesAtMs = clock.monotonicMs();
-        },
-        recordFirstBytes: () => {
-          leaveBacklog();
-          const nowMs = clock.monotonicMs();
-          recordProcessed(entry, sharedParts, nowMs);
-          const elapsedMs = nowMs - startedAtMs;
-          // What a cold server takes says nothing of its speed once it is warm.
-          if (isCold) {
-            entry.health.lastBytesAtMs = nowMs;
-            return;
-          }
-          recordFirstByteDelay(entry.health, elapsedMs, delayMs, nowMs, latencyRatio);
-          paces.recordFirstByteDelay(id, elapsedMs, computeOrdinaryDelay(delayMs, latencyRatio));
-        },
-        release: (outcome) => {
-          const nowMs = clock.monotonicMs();
-          leaveBacklog();
-          load.active -= 1;
-          load.reservedTokens -= reservedTokens;
-          const isBackoffStarted = recordOutcome(entry.health, outcome, nowMs - startedAtMs, nowMs);
-          if (isBackoffStarted) logBackoff(entry, nowMs);
-        },
-      };
+      if (entry.agedCache !== undefined) prefixUses.recordOwn(id, hashParts(request.sharedParts));
+      return addTrackedRequest(entry, request, {
+        clock,
+        paces,
+        isCold: getColdMs(entry.server.incarnation) > 0,
+        latencyRatio: findLatencyRatio(entry),
+        onBackoff: (nowMs) => logBackoff(entry, nowMs),
+      });
     },
     getOwnLoads: () =>
       new Map(
--- a/src/serving/startFleetLeader/_lib/createServiceAdmission.ts
+++ b/src/serving/startFleetLeader/_lib/createServiceAdmission.ts
@@ -1,10 +1,7 @@
 import { computeCapacityMs } from '../../../decisions/admission/computeAdmissionRetryMs/index.js';
 import { computeAdmissionShares } from '../../../decisions/admission/computeAdmissionShares/index.js';
+import { computeAllowances } from '../../../decisions/admission/computeAllowances/index.js';
 import { computeLargeTokens } from '../../../decisions/admission/computeLargeTokens/index.js';
-import {
-  computeCommonSurge,
-  type OrganisationWork,
-} from '../../../decisions/admission/computeOrganisationExcess/index.js';
 import { computeRefusedShare } from '../../../decisions/admission/computeRefusedShare/index.js';
 import {
   computeExcessBacklogMs,
@@ -50,8 +47,6 @@
 const MAX_DEMAND = 4096;
 const MAX_ORGANISATIONS = 1024;
 const FORGOTTEN_TOKENS = 1;
-const ALLOWED_RATIO = 1.5; // of the usual; ordinary variation within seconds
-const MIN_ALLOWED_FRACTION = 0.5; // of an equal share, for organisations that are new or seldom there
 const LONG_LIVED_MS = 60_000; // a usual that was taken over is not learned from the start again
 
 /** Creates the admission to one service, without anything known of it unless it is taken over. */
@@ -111,22 +106,8 @@
       if (next < FORGOTTEN_TOKENS && now === 0) usual.delete(name);
       else usual.set(name, next);
     }
-    const surge = computeCommonSurge(
-      [...usual].map(([name, work]) => ({ recent: recent.get(name) ?? 0, usual: work })),
-    );
-    const total = [...recent.values()].reduce((sum, work) => sum + work, 0);
-    const leastAllowance =
-      (MIN_ALLOWED_FRACTION * (1 - level.refusedShare) * total) / Math.max(1, recent.size);
-    // A single large request is no surge.
-    const sizeAllowance = Number.isFinite(largeTokens) ? largeTokens / DEMAND_LIFETIME_S : 0;
-    return new Map<string, OrganisationWork>(
-      [...recent].flatMap(([name, work]) => {
-        if (name === '') return [];
-        const ordinary = ALLOWED_RATIO * surge * (usual.get(name) ?? 0);
-        const allowance = Math.max(1, ordinary, leastAllowance) + sizeAllowance;
-        return [[name, { recent: work, allowance }]];
-      }),
-    );
+    const largeWork = Number.isFinite(largeTokens) ? largeTokens / DEMAND_LIFETIME_S : 0;
+    return computeAllowances({ recent, usual, refusedShare: level.refusedShare, largeWork });
   };
 
   return {
