Fail when a given test file does not exist

tap drops a missing file silently if others are given, and the runner counted it as run, so that a mistyped name looked like a pass. Measured: a run with a missing file ends with an error now; before, it passed.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -13,6 +13,10 @@
 const givenFiles = process.argv.slice(2);
 const files = givenFiles.length > 0 ? givenFiles : listTestFiles();
 
+// tap drops a missing file silently if others are given.
+const missingFiles = files.filter((path) => !existsSync(path));
+if (missingFiles.length > 0) throw new Error(`no such test file: ${missingFiles.join(', ')}`);
+
 function listTestFiles() {
   const units = readdirSync('dist', { recursive: true })
     .filter((path) => path.endsWith('/test.js'))
