--- a/src/coordination/createRateLimiter/_lib.ts
+++ b/src/coordination/createRateLimiter/_lib/collectLoans.ts
@@ -1,7 +1,7 @@
-import { LOAN_DEADLINE_MS } from '../../decisions/rate/constants/index.js';
-import { planLoans } from '../../decisions/rate/planLoans/index.js';
-import type { PlannedLoan } from '../../decisions/rate/types.js';
-import type { RateLimiterOptions } from './types.js';
+import { LOAN_DEADLINE_MS } from '../../../decisions/rate/constants/index.js';
+import { planLoans } from '../../../decisions/rate/planLoans/index.js';
+import type { PlannedLoan } from '../../../decisions/rate/types.js';
+import type { RateLimiterOptions } from '../types.js';
 
 /** Units borrowed from one peer. */
 export interface Loan {
--- a/src/coordination/createRateLimiter/index.ts
+++ b/src/coordination/createRateLimiter/index.ts
@@ -1,11 +1,6 @@
 import { setTimeout as wait } from 'node:timers/promises';
-import { chargeBucket } from '../../decisions/rate/chargeBucket/index.js';
 import { computeLevel } from '../../decisions/rate/computeLevel/index.js';
-import {
-  LOAN_DEADLINE_MS,
-  MILLISECONDS_PER_SECOND,
-  SLOT_COUNT,
-} from '../../decisions/rate/constants/index.js';
+import { MILLISECONDS_PER_SECOND, SLOT_COUNT } from '../../decisions/rate/constants/index.js';
 import { computeLendableBurst, toUnits } from '../../decisions/rate/convertTokens/index.js';
 import { createBucket } from '../../decisions/rate/createBucket/index.js';
 import { grantLoan } from '../../decisions/rate/grantLoan/index.js';
@@ -15,10 +10,10 @@
 } from '../../decisions/rate/setBucketParameters/index.js';
 import { settleCharge } from '../../decisions/rate/settleCharge/index.js';
 import type { Bucket, BucketParameters } from '../../decisions/rate/types.js';
-import { collectLoans, settleLoans, type Loan } from './_lib.js';
+import { createAdmissionQueue, type AdmissionQueue } from './_lib/createAdmissionQueue.js';
+import { createRequestCharger } from './_lib/createRequestCharger.js';
 import {
   RateRefusal,
-  type Admission,
   type AdmissionRequest,
   type AdmissionResult,
   type OrganisationRate,
@@ -28,27 +23,10 @@
 
 export * from './types.js';
 
-const MIN_RETRY_DELAY_MS = 2;
-const MAX_RETRY_DELAY_MS = 100;
-/** Queued requests of one organisation that may borrow from peers at the same time. */
-const MAX_CONCURRENT_TRIES = 8;
-
-/** A request that waits for earlier requests of its organisation or for tokens. */
-interface QueueEntry {
-  request: AdmissionRequest;
-  units: number;
-  /** Whether a try to admit the request is in progress. */
-  isActive: boolean;
-  /** Earliest time of the next try, on the monotonic clock. */
-  retryAtMs: number;
-  resolve: (result: AdmissionResult) => void;
-}
-
 /** Token bucket and queue of one organisation. */
 interface OrganisationState {
   bucket: Bucket;
-  /** Requests in order of arrival. */
-  queue: QueueEntry[];
+  queue: AdmissionQueue;
 }
 
 function toBucketParameters({ rate, burst }: OrganisationRate, slots: number): BucketParameters {
@@ -71,7 +49,6 @@
 export function createRateLimiter(options: RateLimiterOptions): RateLimiter {
   const {
     clock,
-    createId,
     wait: delay = (milliseconds: number) => wait(milliseconds),
     maximumWaiting = 512,
   } = options;
@@ -94,115 +71,21 @@
     if (slots > 0 && clock.monotonicMs() >= leaseExpiresAtMs) setSlots(0);
   };
 
-  /** Charges the local bucket with up to the given units and returns how many it had. */
-  const chargeLocalBucket = (state: OrganisationState, id: string, units: number): number => {
-    dropExpiredSlots();
-    const nowMs = clock.monotonicMs();
-    const taken = Math.min(units, Math.max(0, computeLevel(state.bucket, nowMs)));
-    if (taken > 0) state.bucket = chargeBucket(state.bucket, id, taken, nowMs);
-    return taken;
-  };
-
-  const createAdmission = (
-    state: OrganisationState,
-    organisation: string,
-    id: string,
-    localUnits: number,
-    loans: readonly Loan[],
-  ): Admission => {
-    let isSettled = false;
-    return {
-      settle: (tokens) => {
-        if (isSettled) return;
-        isSettled = true;
-        const used = toUnits(tokens);
-        const usedLocalUnits = settleLoans(options, organisation, { localUnits, loans, used });
-        if (localUnits > 0) state.bucket = settleCharge(state.bucket, id, usedLocalUnits);
-      },
+  const charger = createRequestCharger(options, dropExpiredSlots);
+
+  const createState = (bucket: Bucket): OrganisationState => {
+    const state: OrganisationState = {
+      bucket,
+      queue: createAdmissionQueue({
+        clock,
+        delay,
+        tryAdmit: ({ organisation }, units) => charger.tryAdmit(state, organisation, units),
+        computeRefillMs: (units) => computeRefillMs(units, state.bucket.current.parameters),
+      }),
     };
+    return state;
   };
 
-  /** Tries to admit a request with local and borrowed units; returns the missing units on failure. */
-  const tryAdmit = async (
-    state: OrganisationState,
-    organisation: string,
-    units: number,
-  ): Promise<Admission | number> => {
-    const id = createId();
-    const startedAtMs = clock.monotonicMs();
-    const localUnits = chargeLocalBucket(state, id, units);
-    if (localUnits === units) return createAdmission(state, organisation, id, localUnits, []);
-    const { loans, missingUnits } = await collectLoans(options, organisation, units - localUnits);
-    const isInTime = clock.monotonicMs() - startedAtMs <= LOAN_DEADLINE_MS;
-    const admission = createAdmission(state, organisation, id, localUnits, loans);
-    if (missingUnits <= 0 && isInTime) return admission;
-    admission.settle(0);
-    return Math.max(1, missingUnits);
-  };
-
-  /** Admits a request without loans if the local bucket covers it. */
-  const tryAdmitLocally = (
-    state: OrganisationState,
-    { organisation }: AdmissionRequest,
-    units: number,
-  ): Admission | undefined => {
-    dropExpiredSlots();
-    if (computeLevel(state.bucket, clock.monotonicMs()) < units) return undefined;
-    const id = createId();
-    return createAdmission(state, organisation, id, chargeLocalBucket(state, id, units), []);
-  };
-
-  const complete = (state: OrganisationState, entry: QueueEntry, result: AdmissionResult): void => {
-    state.queue = state.queue.filter((other) => other !== entry);
-    entry.resolve(result);
-  };
-
-  const tryEntry = async (state: OrganisationState, entry: QueueEntry): Promise<void> => {
-    const { organisation, deadlineAtMs } = entry.request;
-    const result = await tryAdmit(state, organisation, entry.units);
-    entry.isActive = false;
-    if (typeof result !== 'number') {
-      complete(state, entry, { admitted: true, admission: result });
-      serveQueue(state);
-      return;
-    }
-    const nowMs = clock.monotonicMs();
-    const retryAfterMs = computeRefillMs(result, state.bucket.current.parameters);
-    if (nowMs >= deadlineAtMs) {
-      complete(state, entry, {
-        admitted: false,
-        reason: RateRefusal.rateExceeded,
-        retryAfterMs,
-      });
-      serveQueue(state);
-      return;
-    }
-    const retryDelayMs = Math.min(
-      MAX_RETRY_DELAY_MS,
-      deadlineAtMs - nowMs,
-      Math.max(MIN_RETRY_DELAY_MS, retryAfterMs),
-    );
-    entry.retryAtMs = nowMs + retryDelayMs;
-    await delay(retryDelayMs);
-    // A timer may fire slightly early; without this reset the request would not be tried again.
-    entry.retryAtMs = -Infinity;
-    serveQueue(state);
-  };
-
-  /** Tries queued requests in order of arrival; one that waits for tokens blocks those behind it. */
-  function serveQueue(state: OrganisationState): void {
-    const nowMs = clock.monotonicMs();
-    let activeCount = 0;
-    for (const entry of [...state.queue]) {
-      if (activeCount >= MAX_CONCURRENT_TRIES || (!entry.isActive && entry.retryAtMs > nowMs))
-        return;
-      activeCount += 1;
-      if (entry.isActive) continue;
-      entry.isActive = true;
-      void tryEntry(state, entry);
-    }
-  }
-
   const admit = (request: AdmissionRequest): Promise<AdmissionResult> => {
     const refuse = (reason: RateRefusal, retryAfterMs = 0): Promise<AdmissionResult> =>
       Promise.resolve({ admitted: false, reason, retryAfterMs });
@@ -210,15 +93,13 @@
     if (state === undefined) return refuse(RateRefusal.unknownOrganisation);
     if (request.tokens > state.bucket.current.parameters.burst)
       return refuse(RateRefusal.exceedsBurst);
-    if (state.queue.length >= maximumWaiting)
+    if (state.queue.count() >= maximumWaiting)
       return refuse(RateRefusal.rateExceeded, MILLISECONDS_PER_SECOND);
     const units = toUnits(request.tokens);
-    const admission = state.queue.length === 0 ? tryAdmitLocally(state, request, units) : undefined;
+    const admission =
+      state.queue.count() === 0 ? charger.tryAdmitLocally(state, request, units) : undefined;
     if (admission !== undefined) return Promise.resolve({ admitted: true, admission });
-    return new Promise((resolve) => {
-      state.queue.push({ request, units, isActive: false, retryAtMs: -Infinity, resolve });
-      serveQueue(state);
-    });
+    return state.queue.add(request, units);
   };
 
   return {
@@ -250,19 +131,13 @@
       for (const [name, state] of states) {
         if (names.has(name)) continue;
         states.delete(name);
-        const refusal = {
-          admitted: false,
-          reason: RateRefusal.unknownOrganisation,
-          retryAfterMs: 0,
-        } as const;
-        for (const entry of [...state.queue]) complete(state, entry, refusal);
+        state.queue.refuseAll(RateRefusal.unknownOrganisation);
       }
       for (const organisation of organisations) {
         const parameters = toBucketParameters(organisation, slots);
         const state = states.get(organisation.name);
         if (state === undefined) {
-          const bucket = createBucket(parameters, nowMs);
-          states.set(organisation.name, { bucket, queue: [] });
+          states.set(organisation.name, createState(createBucket(parameters, nowMs)));
         } else state.bucket = setBucketParameters(state.bucket, parameters, nowMs);
       }
     },
