Split the start of an entry host into peers, contact and heartbeats

Control state, peer registry and backend directory are created before the key-value service, as the contact needs them; none of them uses the service.

--- a/src/programs/entry/startEntry/index.ts
+++ b/src/programs/entry/startEntry/index.ts
@@ -7,40 +7,31 @@
 import { createEtcdKeyValueService } from '../../../adapters/keyValueService/index.js';
 import { createLog } from '../../../adapters/log/index.js';
 import { createMetrics } from '../../../adapters/metrics/index.js';
-import { openPeerNetwork, type PeerNetwork } from '../../../adapters/peer/index.js';
 import { createClaimStore } from '../../../coordination/createClaimStore/index.js';
 import { createDemandMeter } from '../../../coordination/createDemandMeter/index.js';
 import { createDispatcher } from '../../../coordination/createDispatcher/index.js';
 import { createControlState } from '../../../coordination/createControlState/index.js';
-import { createRateLimiter } from '../../../coordination/createRateLimiter/index.js';
 import { createRetryBudget } from '../../../coordination/createRetryBudget/index.js';
 import { syncControlState } from '../../../coordination/syncControlState/index.js';
-import { maintainSlots } from '../../../coordination/maintainSlots/index.js';
-import { isIsolated } from '../../../decisions/membership/isIsolated/index.js';
 import { HostRole } from '../../../ports/hostList.js';
-import type { Heartbeat } from '../../../ports/peers.js';
 import { collectStatus } from '../_lib/collectStatus.js';
 import { createActiveRequests } from '../_lib/createActiveRequests.js';
 import { createBackendDirectory } from '../_lib/createBackendDirectory.js';
+import { createContactTracker } from '../_lib/createContactTracker.js';
 import { createEntryGuards } from '../_lib/createEntryGuards.js';
+import { createHeartbeats } from '../_lib/createHeartbeats.js';
 import { createPeerRegistry } from '../_lib/createPeerRegistry.js';
 import { createRefusalCounter } from '../_lib/createRefusalCounter.js';
-import { pollHostList } from '../_lib/pollHostList.js';
-import {
-  buildControlStateReply,
-  createControlStatePuller,
-} from '../_lib/createControlStatePuller.js';
+import { maintainEntrySlots } from '../_lib/maintainEntrySlots.js';
+import { openEntryPeers } from '../_lib/openEntryPeers.js';
 import { openOperatorServer } from '../_lib/openOperatorServer.js';
+import { pollHostList } from '../_lib/pollHostList.js';
 import { handleRequest } from '../handlers/handleRequest.js';
 import type { EntrySettings } from '../settings.js';
 import type { EntryContext, EntryHost } from '../types.js';
 
 export type { EntryHost } from '../types.js';
 
-/** Milliseconds without a response after which the key-value service counts as unreachable. */
-const SERVICE_UNREACHABLE_AFTER_MS = 2000;
-const BUNDLE_POLL_INTERVAL_MS = 50;
-
 /** Starts an entry host; resolves once it listens. */
 export async function startEntry(settings: EntrySettings): Promise<EntryHost> {
   const { hostId: host, dataCentre } = settings;
@@ -54,20 +45,25 @@
   });
   const metrics = createMetrics({ statsd: settings.statsd, tags: { host, dataCentre } });
 
-  let keyValueServiceAtMs = -Infinity;
+  const controlState = createControlState(settings.operatorKeys, log);
+  const peerRegistry = createPeerRegistry(clock);
+  const backendDirectory = createBackendDirectory(clock);
+  const contact = createContactTracker({
+    clock,
+    listContactTimes: peerRegistry.listContactTimes,
+    listPeerIds: () =>
+      backendDirectory
+        .listHosts()
+        .filter(({ role, id }) => role === HostRole.entry && id !== host)
+        .map(({ id }) => id),
+    isolationTimeoutMs: settings.isolationTimeoutMs,
+  });
+  const { isInContact } = contact;
   const service = createEtcdKeyValueService(settings.keyValueService, {
     timeoutMs: settings.keyValueTimeoutMs,
     onCall: (kind) => metrics.increment('key_value_calls', 1, { kind }),
-    onResponse: () => {
-      keyValueServiceAtMs = clock.monotonicMs();
-    },
+    onResponse: contact.recordServiceResponse,
   });
-  const isServiceUnreachable = (): boolean =>
-    clock.monotonicMs() - keyValueServiceAtMs > SERVICE_UNREACHABLE_AFTER_MS;
-
-  const controlState = createControlState(settings.operatorKeys, log);
-  const peerRegistry = createPeerRegistry(clock);
-  const backendDirectory = createBackendDirectory(clock);
   const demand = createDemandMeter(clock);
   const refusalCounter = createRefusalCounter(clock);
   const activeRequests = createActiveRequests();
@@ -82,90 +78,28 @@
     listCandidates: (target) => backendDirectory.listCandidates(target, peerRegistry.getInFlight()),
   });
 
-  let lastLoanNumber = 0;
-  const findOrganisation = (name: string) =>
-    controlState.get().accepted?.bundle.organisations.find((item) => item.name === name);
-  const rateLimiter = createRateLimiter({
+  const { network, rateLimiter, applyWithdrawals } = await openEntryPeers({
+    settings,
+    incarnation,
     clock,
-    createId: () => `${incarnation}.${++lastLoanNumber}`,
-    listLenders: (name) => {
-      const organisation = findOrganisation(name);
-      return organisation === undefined ? [] : peerRegistry.listLenders(organisation);
-    },
-    requestLoan: async (peer, request, timeoutMs) => {
-      const reply = await network.requestLoan(peer, request, timeoutMs);
-      if (reply !== undefined) peerRegistry.recordLevel(peer, request.organisation, reply.level);
-      return reply;
-    },
-    sendSettlement: (peer, settlement) => void network.send(peer, settlement),
-  });
-
-  const pullControlState = createControlStatePuller({
+    log,
     controlState,
-    peers: () => network,
-    needsLedger: isServiceUnreachable,
+    peerRegistry,
+    needsLedger: contact.isServiceUnreachable,
   });
-  const network: PeerNetwork = await openPeerNetwork({
+
+  const heartbeats = createHeartbeats({
     host,
     incarnation,
-    address: settings.address,
-    port: settings.peerPort,
-    secret: settings.peerSecret,
-    log,
-    handlers: {
-      handleHeartbeat: (heartbeat) => {
-        peerRegistry.recordHeartbeat(heartbeat);
-        pullControlState(heartbeat);
-      },
-      grantLoan: rateLimiter.grantLoan,
-      settleLoan: rateLimiter.settleLoan,
-      collectControlState: (request) => buildControlStateReply(controlState, request),
-      acceptWithdrawals: ({ signed }) => void applyWithdrawals(signed),
-    },
+    network,
+    controlState,
+    rateLimiter,
+    dispatcher,
+    demand,
+    refusalCounter,
   });
-
-  /** Applies signed withdrawals, and sends them to all peers immediately if any was new. */
-  async function applyWithdrawals(signed: readonly string[]): Promise<void> {
-    if (!(await controlState.offerWithdrawals(signed))) return;
-    for (const peer of network.listConnected())
-      network.send(peer, { type: 'withdrawalNotice', signed: [...signed] });
-  }
-
-  const listPeerIds = (): string[] =>
-    backendDirectory
-      .listHosts()
-      .filter(({ role, id }) => role === HostRole.entry && id !== host)
-      .map(({ id }) => id);
-  const isInContact = (): boolean =>
-    !isIsolated(
-      {
-        keyValueServiceAtMs,
-        peersAtMs: peerRegistry.listContactTimes(),
-        listedPeers: listPeerIds(),
-      },
-      clock.monotonicMs(),
-      settings.isolationTimeoutMs,
-    );
-
-  const buildHeartbeat = (): Heartbeat => {
-    const { accepted, withdrawalsDigest, ledgerRevision } = controlState.get();
-    return {
-      type: 'heartbeat',
-      host,
-      incarnation,
-      bundleVersion: accepted?.bundle.version ?? 0,
-      withdrawalsDigest,
-      ledgerRevision,
-      levels: rateLimiter.getLevels(),
-      inFlight: dispatcher.getInFlight(),
-      demand: demand.list(),
-      refused: refusalCounter.list(),
-      slots: rateLimiter.countSlots(),
-    };
-  };
   const sendHeartbeats = (): void => {
-    const heartbeat = buildHeartbeat();
-    for (const peer of network.listConnected()) network.send(peer, heartbeat);
+    heartbeats.send();
     dispatcher.dispatchQueued();
   };
 
@@ -219,7 +153,7 @@
     guard: guards.operators,
     operatorKeys: settings.operatorKeys,
     collectStatus: () => ({
-      ...collectStatus(buildHeartbeat(), peerRegistry.listAlive(), controlState.get()),
+      ...collectStatus(heartbeats.build(), peerRegistry.listAlive(), controlState.get()),
       peerBytesSent: network.countBytesSent(),
     }),
     applyWithdrawals,
@@ -240,24 +174,18 @@
       signal,
     }),
   ];
-  const startSlotMaintenance = async (): Promise<void> => {
-    // Bucket levels are restored together with the slots, but only for organisations of a known bundle.
-    while (!signal.aborted && controlState.get().accepted === undefined)
-      await wait(BUNDLE_POLL_INTERVAL_MS);
-    await maintainSlots({
-      service,
-      limiter: rateLimiter,
-      clock,
-      log,
-      host,
-      endpoint: `${settings.address}:${network.port}`,
-      incarnation,
-      leaseSeconds: settings.slotLeaseSeconds,
-      countLiveHosts: () => peerRegistry.listAlive().length + 1,
-      signal,
-    });
-  };
-  const slotTask = startSlotMaintenance();
+  const slotTask = maintainEntrySlots(controlState, {
+    service,
+    limiter: rateLimiter,
+    clock,
+    log,
+    host,
+    endpoint: `${settings.address}:${network.port}`,
+    incarnation,
+    leaseSeconds: settings.slotLeaseSeconds,
+    countLiveHosts: () => peerRegistry.listAlive().length + 1,
+    signal,
+  });
   log.info(
     {
       callerPort: callerServer.port,
