--- a/src/standin/engine/index.ts
+++ b/src/standin/engine/index.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as wait } from 'node:timers/promises';
-import { request as sendRequest } from 'undici';
 import type { EngineOrder } from '../../ports/engine.js';
 import {
   openStandinServer,
@@ -11,8 +10,9 @@
 } from '../http.js';
 import { createBatcher, type BatcherOptions } from './createBatcher.js';
 import { createEngineMemory } from './createEngineMemory.js';
-import { buildTokens } from './buildTokens.js';
-import { createStreams, type Generation } from './createStreams.js';
+import { createCompletionGenerator, type CompletionBody } from './createCompletionGenerator.js';
+import { createStreams } from './createStreams.js';
+import { pullWeights } from './pullWeights.js';
 
 /** Injected faults of an engine; each count decreases with every request that the fault affects. */
 export interface EngineFaults {
@@ -62,17 +62,6 @@
 }
 
 const MAX_RECORDED_REQUESTS = 5000;
-const PREFIX_CHARACTERS = 128;
-const WEIGHT_LOAD_TIMEOUT_MS = 600_000;
-
-interface CompletionBody {
-  model: string;
-  prompt?: unknown;
-  messages?: unknown;
-  max_tokens: number;
-  stream?: boolean;
-  priority?: number;
-}
 
 /** Opens an HTTP stand-in of a model engine, with control calls for orders, reports, faults and statistics. */
 export async function openEngineStandin(options: EngineStandinOptions): Promise<
@@ -108,19 +97,10 @@
     nowMs: () => performance.now(),
     loadWeights: async (kind) => {
       if (weightStore === undefined) return;
-      const body = JSON.stringify({ kind });
-      const timeouts = {
-        headersTimeout: WEIGHT_LOAD_TIMEOUT_MS,
-        bodyTimeout: WEIGHT_LOAD_TIMEOUT_MS,
-      };
-      const reply = await sendRequest(`${weightStore}/weights/load`, {
-        method: 'POST',
-        body,
-        ...timeouts,
-      });
-      await reply.body.dump();
+      await pullWeights(weightStore, kind);
     },
   });
+  const generator = createCompletionGenerator({ memory, batcher, streams });
   const setFaults = (changes: Partial<EngineFaults>): void => void Object.assign(faults, changes);
 
   const handleOrder = async ({
@@ -142,67 +122,6 @@
     } else sendJsonResponse(response, 200, reply);
   };
 
-  const generate = async (
-    generation: Generation,
-    body: CompletionBody,
-    isChat: boolean,
-  ): Promise<void> => {
-    const prompt = JSON.stringify(body.messages ?? body.prompt);
-    const endRequest = memory.startRequest(body.model);
-    const removeFromBatch = await batcher.start(
-      prompt.slice(0, PREFIX_CHARACTERS),
-      body.priority ?? 0,
-    );
-    const tokens = buildTokens(prompt, body.max_tokens);
-    for (const text of tokens) {
-      if (generation.isCancelled) break;
-      await batcher.waitForToken();
-      const choice = isChat ? { index: 0, delta: { content: text } } : { index: 0, text };
-      const chunk = { id: generation.id, model: body.model, choices: [choice] };
-      streams.addEvent(generation, JSON.stringify(chunk));
-    }
-    const promptTokens = Math.ceil(prompt.length / 4);
-    const usage = {
-      prompt_tokens: promptTokens,
-      completion_tokens: tokens.length,
-      total_tokens: promptTokens + tokens.length,
-    };
-    streams.addEvent(generation, JSON.stringify({ id: generation.id, choices: [], usage }));
-    streams.addEvent(generation, '[DONE]');
-    removeFromBatch();
-    endRequest();
-    streams.end(generation);
-  };
-
-  const sendCompletion = async (
-    generation: Generation,
-    body: CompletionBody,
-    isChat: boolean,
-    request: StandinRequest,
-  ): Promise<void> => {
-    request.response.once('close', () => {
-      if (!request.response.writableFinished) generation.isCancelled = true;
-    });
-    await generate(generation, body, isChat);
-    const chunks = generation.events.slice(0, -2).map((data) => JSON.parse(data) as unknown);
-    const text = chunks
-      .map((chunk) => {
-        const { choices } = chunk as { choices: { text?: string; delta?: { content: string } }[] };
-        return choices[0]?.text ?? choices[0]?.delta?.content ?? '';
-      })
-      .join('');
-    const { usage } = JSON.parse(generation.events.at(-2) ?? '{}') as { usage: unknown };
-    const choice = isChat
-      ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'length' }
-      : { index: 0, text, finish_reason: 'length' };
-    sendJsonResponse(request.response, 200, {
-      id: generation.id,
-      model: body.model,
-      choices: [choice],
-      usage,
-    });
-  };
-
   const refuse = ({ response }: StandinRequest, status: number, code: string): void => {
     const leaving: Record<string, string> = faults.leaving
       ? { 'bronzelanding-leaving': 'true' }
@@ -235,11 +154,11 @@
     const generation = streams.create();
     const isChat = path.endsWith('/chat/completions');
     if (body.stream !== true) {
-      await sendCompletion(generation, body, isChat, request);
+      await generator.sendCompletion(generation, body, isChat, request);
       return;
     }
     response.writeHead(200, { 'content-type': 'text/event-stream' });
-    void generate(generation, body, isChat);
+    void generator.generate(generation, body, isChat);
     const isCut = faults.cutStreams > 0;
     if (isCut) faults.cutStreams -= 1;
     await streams.serve(generation, 0, response, isCut ? faults.cutAfterEvents : undefined);
