--- a/src/ports/serving.ts
+++ b/src/ports/serving.ts
@@ -180,8 +180,6 @@
 export interface ResponseHead {
   status: number;
   headers: readonly string[];
-  /** False when the response ends with its connection, so that truncation cannot be detected. */
-  isFramed: boolean;
 }
 
 /**
--- a/src/serving/runAttempt/test.ts
+++ b/src/serving/runAttempt/test.ts
@@ -58,7 +58,7 @@
     isServerSilent: () => false,
   });
   if (handlers === undefined) throw new Error('the attempt sent nothing');
-  handlers.onHead({ status: 200, headers: [], isFramed: true });
+  handlers.onHead({ status: 200, headers: [] });
   return { handlers, result };
 }
 
