Bound what is read of engines on every path

Operators saw, elsewhere: an engine sent bytes that were no answer, without end; the host that had called it kept them all, ran out of memory, and ended the requests of its other callers.

Cause: the bounds of callers' requests were those of callers' requests alone.

A plain answer of a service has as long for its body as for its head.

--- a/src/adapters/backendServer/index.ts
+++ b/src/adapters/backendServer/index.ts
@@ -174,16 +174,25 @@
 
 const FIRST_RESERVATION_BYTES = 65_536; // of a response that announces no length
 
+/** Bounds of a response body that is read whole. */
+export interface ResponseBodyOptions {
+  maximumBytes: number;
+  /** Milliseconds from the head of the response to its end. */
+  maximumMs: number;
+  /** Resolves once there is memory for the bytes; rejects if there is none. */
+  reserveMemory?: (bytes: number) => Promise<void>;
+}
+
 /**
  * Reads a complete response body, after `reserveMemory` has resolved for its length. Rejects with
- * BackendServerError when the body is truncated or over the limit, and when it has no framing by which
+ * BackendServerError when the body is truncated or over a limit, and when it has no framing by which
  * a truncation could be detected.
  */
 export async function readResponseBody(
   response: BackendResponse,
-  maximumBytes: number,
-  reserveMemory: (bytes: number) => Promise<void> = () => Promise.resolve(),
+  options: ResponseBodyOptions,
 ): Promise<Buffer> {
+  const { maximumBytes, maximumMs, reserveMemory = () => Promise.resolve() } = options;
   const { headers, status } = response;
   const isDelimited =
     headers['content-length'] !== undefined ||
@@ -202,6 +211,9 @@
     }
   };
   await reserve(reservedBytes);
+  const timer = setTimeout(() => {
+    response.body.destroy(new Error(`the answer took more than ${maximumMs} ms`));
+  }, maximumMs);
   try {
     // Common case: undici checks the body against its Content-Length.
     if (announced <= maximumBytes) return Buffer.from(await response.body.arrayBuffer());
@@ -216,6 +228,8 @@
   } catch (cause) {
     if (cause instanceof RequestError) throw cause;
     throw new BackendServerError(`the answer was cut: ${formatError(cause)}`, { cause });
+  } finally {
+    clearTimeout(timer);
   }
   if (!isDelimited)
     throw new BackendServerError('the answer has no length, so that a cut could not be noticed');
--- a/src/adapters/engine/index.ts
+++ b/src/adapters/engine/index.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { createResettingAgent } from '../http/createResettingAgent/index.js';
+import { createListSchema } from '../../common/createListSchema.js';
 import { EngineControlError } from '../../errors/index.js';
 import { ItemKind, ReportedState, type EngineControl } from '../../ports/engine.js';
 
@@ -9,13 +10,16 @@
   reason: z.string().optional(),
 });
 
+const MAX_ANSWER_BYTES = 1_048_576; // a report of thousands of models and adapters
+const MAX_REPORTED_ITEMS = 16_384;
+
 const engineReport = z.object({
   incarnation: z.string(),
   asOfMs: z.number(),
   engineClockMs: z.number(),
   memoryBytes: z.number(),
   inFlight: z.number(),
-  items: z.array(
+  items: createListSchema(
     z.object({
       kind: z.enum(ItemKind),
       name: z.string(),
@@ -23,12 +27,13 @@
       bytes: z.number(),
       state: z.enum(ReportedState),
     }),
+    { maximumLength: MAX_REPORTED_ITEMS },
   ),
 });
 
 /** Creates an engine control that sends orders and reads reports over HTTP. */
 export function createEngineControl(timeoutMs = 1000): EngineControl {
-  const agent = createResettingAgent();
+  const agent = createResettingAgent({ maxResponseSize: MAX_ANSWER_BYTES });
   const requestJson = async <T>(url: string, schema: z.ZodType<T>, order?: unknown): Promise<T> => {
     try {
       const { origin, pathname, search } = new URL(url);
--- a/src/programs/entry/_lib/relayStream.ts
+++ b/src/programs/entry/_lib/relayStream.ts
@@ -7,6 +7,7 @@
 /** Data of the event that marks the end of a complete stream. */
 const DONE_DATA = '[DONE]';
 const MAX_RESUMES = 3;
+const MAX_EVENT_CHARACTERS = 1_048_576; // far above the few tokens of an event
 
 /** Options of relaying a stream. */
 export interface RelayStreamOptions {
@@ -93,6 +94,11 @@
 ): Promise<boolean> {
   let text = '';
   const parser = createParser({
+    maxBufferSize: MAX_EVENT_CHARACTERS,
+    onError: ({ type }) => {
+      if (type === 'max-buffer-size-exceeded')
+        throw new BackendServerError(`no event ends within ${MAX_EVENT_CHARACTERS} characters`);
+    },
     onEvent: (event) => {
       if (state.isDone || !recordEventId(state, event.id)) return;
       if (event.data === DONE_DATA) state.isDone = true;
--- a/src/programs/entry/handlers/handleCompletion.ts
+++ b/src/programs/entry/handlers/handleCompletion.ts
@@ -90,11 +90,11 @@
   response: BackendResponse,
 ): Promise<number | undefined> {
   const { context, request } = run;
-  const body = await readResponseBody(
-    response,
-    context.settings.maximumResponseBytes,
-    createAnswerReservation(request),
-  );
+  const body = await readResponseBody(response, {
+    maximumBytes: context.settings.maximumResponseBytes,
+    maximumMs: context.settings.backendHeadersTimeoutMs,
+    reserveMemory: createAnswerReservation(request),
+  });
   const headers = {
     ...pickReturnedHeaders(response.headers),
     [OUTCOME_HEADER]: response.status < 500 ? ExecutionOutcome.run : ExecutionOutcome.unknown,
--- a/src/programs/entry/handlers/handlePlainRoute.ts
+++ b/src/programs/entry/handlers/handlePlainRoute.ts
@@ -63,11 +63,11 @@
     signal,
     idempotent: route.idempotent,
   });
-  const responseBody = await readResponseBody(
-    response,
-    context.settings.maximumResponseBytes,
-    createAnswerReservation(request),
-  );
+  const responseBody = await readResponseBody(response, {
+    maximumBytes: context.settings.maximumResponseBytes,
+    maximumMs: context.settings.backendHeadersTimeoutMs,
+    reserveMemory: createAnswerReservation(request),
+  });
   return {
     status: response.status,
     headers: pickReturnedHeaders(response.headers),
--- a/src/programs/entry/settings.ts
+++ b/src/programs/entry/settings.ts
@@ -124,7 +124,7 @@
   backendHeadersTimeoutMs: buildDurationSetting(
     'backend-headers-timeout-ms',
     'BRONZELANDING_BACKEND_HEADERS_TIMEOUT_MS',
-    "Timeout from a request to the head of a backend server's response",
+    "Timeout from a request to the head of a backend server's response, and from there to the end of one that is no stream",
     '120000',
   ),
   backendBodyTimeoutMs: buildDurationSetting(
--- a/src/programs/fleetEntry/startFleetEntry/index.ts
+++ b/src/programs/fleetEntry/startFleetEntry/index.ts
@@ -2,6 +2,7 @@
 import { formatError } from '../../../errors/index.js';
 import type { BackendServer, ServingConfiguration } from '../../../ports/serving.js';
 import { computeFreshnessLimits } from '../../../decisions/leadership/computeFreshnessLimits/index.js';
+import { createHeldBytes } from '../../../serving/createHeldBytes/index.js';
 import { createFleetMember } from '../../../serving/createFleetMember/index.js';
 import { StoreWatch } from '../../../serving/createFleetMember/types.js';
 import { createOrganisationRateLimiter } from '../../../serving/createOrganisationRateLimiter/index.js';
@@ -159,6 +160,7 @@
     refreshServers: refreshes.refreshServers,
     evacuations,
     load,
+    heldBytes: createHeldBytes(),
     maximumResponseBytes: settings.maximumResponseBytes,
     getLastSendAtMs: () => lastSendAtMs,
   };
--- a/src/serving/runAttempt/_lib/createEventRelay.ts
+++ b/src/serving/runAttempt/_lib/createEventRelay.ts
@@ -1,6 +1,7 @@
 import { createChunkBuffer } from '../../../common/createChunkBuffer.js';
 import { isOnlyComments } from '../../../decisions/serving/isOnlyComments/index.js';
 import type { ResponseHead } from '../../../ports/serving.js';
+import type { HeldShare } from '../../createHeldBytes/index.js';
 import { createEventSplitter } from '../../createEventSplitter/index.js';
 
 /** Options of an event relay. */
@@ -8,6 +9,7 @@
   sendHead: (head: ResponseHead) => void;
   /** Returns false when writing should pause. */
   write: (bytes: Buffer) => boolean;
+  held: HeldShare;
   /** Called with complete events that are more than comments, before they are sent. */
   onProgress: (events: Buffer) => void;
 }
@@ -25,11 +27,9 @@
   finish: () => void;
 }
 
-const MAX_EVENT_BYTES = 1_048_576; // far above the few tokens of an event
-
 /** Creates the relay of one stream. */
 export function createEventRelay(options: EventRelayOptions): EventRelay {
-  const { sendHead, write, onProgress } = options;
+  const { sendHead, write, held, onProgress } = options;
   const splitter = createEventSplitter();
   /** Head of a stream whose first event has not arrived, and the comments before that. */
   let heldHead: ResponseHead | undefined;
@@ -61,10 +61,10 @@
       commentBytes += events.length;
       return true;
     },
-    findProblem: () =>
-      commentBytes + splitter.countIncomplete() > MAX_EVENT_BYTES
-        ? `no event ends within ${MAX_EVENT_BYTES} bytes`
-        : undefined,
+    findProblem: () => {
+      const heldBytes = commentBytes + splitter.countIncomplete();
+      return held.set(heldBytes) ? undefined : `no event ends within ${heldBytes} bytes`;
+    },
     isWithinEvent: () => splitter.countIncomplete() > 0,
     finish: sendHeld,
   };
--- a/src/serving/runAttempt/index.ts
+++ b/src/serving/runAttempt/index.ts
@@ -97,6 +97,7 @@
       recordPause();
       clearTimeout(deadlineTimer);
       clearInterval(silenceTimer);
+      held.release();
       response.signal.removeEventListener('abort', handleCallerAbort);
       resolve({ ...result, outcome, reason, failure });
     };
@@ -173,7 +174,9 @@
       isOutputSustained = true;
       options.onSustainedOutput();
     };
+    const held = context.heldBytes.open();
     const events = createEventRelay({
+      held,
       sendHead: response.sendHead,
       write,
       onProgress: (progress) => {
--- a/src/serving/runAttempt/test.ts
+++ b/src/serving/runAttempt/test.ts
@@ -5,22 +5,30 @@
   CallerResponse,
   ServingRequest,
 } from '../../ports/serving.js';
+import { createHeldBytes } from '../createHeldBytes/index.js';
 import type { ServingContext, TrackedStream } from '../types.js';
 import { AttemptOutcome, runAttempt, type AttemptResult } from './index.js';
 
 const CHUNK_BYTES = 16;
 const STREAM_BYTES = 262_144;
+const REQUESTS = 256; // four engines of 64 requests each
+const EVENT_BYTES = 1_000_000;
+const MAX_HELD_BYTES = 32_000_000; // an eighth of what a small host has
 
 const ignore = (): void => undefined;
 
 /** Starts an attempt at a stream, whose response the test delivers through `handlers`. */
-function startAttempt(): { handlers: AttemptHandlers; result: Promise<AttemptResult> } {
+function startAttempt(heldBytes = createHeldBytes()): {
+  handlers: AttemptHandlers;
+  result: Promise<AttemptResult>;
+} {
   let handlers: AttemptHandlers | undefined;
   const context = {
     clock: { monotonicMs: () => performance.now() },
     metrics: { recordFirstBytes: ignore },
     admission: { recordStream: ignore },
     evacuations: { isEvacuated: () => false },
+    heldBytes,
     maximumResponseBytes: 1_000_000,
     backendClient: {
       send: (_server: BackendServer, _request: ServingRequest, given: AttemptHandlers) => {
@@ -96,3 +104,24 @@
     const { outcome } = await result;
     t.equal(outcome, name === 'comments' ? AttemptOutcome.served : AttemptOutcome.failed);
   });
+
+// Each of many requests to an engine that never ends an event held the longest one, 1 MiB.
+t.test('holds no more for many events without end than a host has', async (t) => {
+  const heldBytes = createHeldBytes();
+  const attempts = Array.from({ length: REQUESTS }, () => startAttempt(heldBytes));
+  const chunk = Buffer.alloc(EVENT_BYTES / 10, 'x');
+  for (let part = 0; part < 10; part += 1)
+    for (const { handlers } of attempts) handlers.onData(chunk);
+  const isHeld = attempts.map(() => true);
+  attempts.forEach(({ result }, index) => void result.then(() => (isHeld[index] = false)));
+  await new Promise((resolve) => setImmediate(resolve));
+  const bytes = isHeld.filter(Boolean).length * EVENT_BYTES;
+  t.ok(bytes <= MAX_HELD_BYTES, `${bytes} bytes held of ${REQUESTS * EVENT_BYTES}`);
+  t.ok(bytes >= MAX_HELD_BYTES / 4, 'some long events may still end');
+  const usual = startAttempt(heldBytes);
+  usual.handlers.onData(Buffer.from('data: usual'));
+  usual.handlers.onData(Buffer.from(' event\n\n'));
+  usual.handlers.onEnd();
+  t.equal((await usual.result).outcome, AttemptOutcome.served);
+  for (const { handlers } of attempts) handlers.onEnd();
+});
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -9,6 +9,7 @@
 import type { ServerNotices } from './createServerNotices/index.js';
 import type { ServerPaces } from './createServerPaces/index.js';
 import type { ServerRegistry, TrackedRequest } from './createServerRegistry/index.js';
+import type { HeldBytes } from './createHeldBytes/index.js';
 import type { HostQueue } from './createHostQueue/index.js';
 import type { LoadOptions } from './loadOptions.js';
 import type { ConcurrencyLimits } from './createConcurrencyLimits/index.js';
@@ -147,6 +148,8 @@
    */
   getLastSendAtMs: () => number;
   load: LoadOptions;
+  /** Events that are not complete, of all responses of this host. */
+  heldBytes: HeldBytes;
   /** Longest body of a response that is no stream; a longer one is cut off. */
   maximumResponseBytes: number;
 }
--- a/tests/relayStream.test.ts
+++ b/tests/relayStream.test.ts
@@ -72,6 +72,32 @@
   t.equal(pulled, 201);
 });
 
+// Guards against an engine that sends an event without end, which was held until the memory was used up.
+for (const [name, { text, bytesPerCharacter }] of Object.entries({
+  'one line': { text: 'x'.repeat(16_384), bytesPerCharacter: 1 },
+  // Of each line, a character and a line feed are held.
+  lines: { text: 'data: x\n'.repeat(2048), bytesPerCharacter: 4 },
+}))
+  t.test(`stops reading an event that does not end: ${name}`, async (t) => {
+    const caller = createResponse();
+    let pulled = 0;
+    const chunks = Array.from({ length: 400 }, () => text);
+    const relaying = relayStream(
+      {
+        request: request(caller.response),
+        open: () => Promise.reject(new Error('no')),
+        wantsUsage: true,
+        callerStallMs: 1000,
+        signal: neverAborted,
+      },
+      buildResponse(chunks, () => (pulled += 1)),
+    );
+    await t.rejects(relaying, { message: /no event ends within 1048576 characters/ });
+    const readBytes = pulled * text.length;
+    t.ok(readBytes <= bytesPerCharacter * 1_048_576 + text.length, `${readBytes} bytes read`);
+    t.equal(caller.written.join(''), '');
+  });
+
 t.test(
   'relays every event once when streams are truncated, repeat events or have gaps',
   async () => {
