Join a line of a watch of the key-value service once

Cause: the beginning of a line was joined with each further chunk and all of it searched again, the same growth as that of an event without end. Seen when the reading of bytes was looked through for it, not in operation.

Test that failed before: "splits each character of a long line once": 500,150,043 characters split for 100,000.

--- a/src/adapters/keyValueService/index.ts
+++ b/src/adapters/keyValueService/index.ts
@@ -1,4 +1,5 @@
 import { Agent, request, type Dispatcher } from 'undici';
+import { readLines } from './_lib/readLines.js';
 import { KeyValueServiceError } from '../../errors/index.js';
 import type { KeyValueEntry, KeyValueService, SwapResult } from '../../ports/keyValueService.js';
 import {
@@ -32,16 +33,6 @@
   return { value: decodeBase64(first.value), revision: first.mod_revision };
 }
 
-async function* readLines(body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
-  const decoder = new TextDecoder();
-  let incompleteLine = '';
-  for await (const chunk of body) {
-    const lines = (incompleteLine + decoder.decode(chunk, { stream: true })).split('\n');
-    incompleteLine = lines.pop() ?? '';
-    yield* lines.filter((line) => line.trim() !== '');
-  }
-}
-
 /** Creates a key-value service that calls the etcd v3 JSON gateway at an origin such as `http://10.0.0.1:2379`. */
 export function createEtcdKeyValueService(
   origin: string,
