--- a/src/adapters/http/createResettingClient/_lib/createReadingHandler.ts
+++ b/src/adapters/http/createResettingClient/_lib/createReadingHandler.ts
@@ -48,6 +48,7 @@
   handler: Dispatcher.DispatchHandler,
   getReader: () => SocketReader | undefined,
 ): Dispatcher.DispatchHandler {
+  // It adapts handlers of undici's own calls, and has all methods, though its type declares none.
   const inner = new DecoratorHandler(handler) as unknown as Handler;
   let reader: SocketReader | undefined;
   let used: Dispatcher.DispatchController | undefined;
--- a/src/adapters/http/createSocketReader/index.ts
+++ b/src/adapters/http/createSocketReader/index.ts
@@ -24,7 +24,7 @@
 const MAX_OVERHEAD_BYTES = 131_072; // twice the largest head that callers' requests may have
 const OVERHEAD_PER_BODY_BYTE = 8; // a chunk of one byte has five bytes of framing
 const READ_BYTES = 65_536; // what Node.js reads from a socket at once
-/** Framing in one read above which the connection waits for its turn; a byte of it costs as much as a hundred of a body. */
+/** Framing in one read above which the connection waits for its turn. */
 const MAX_FRAMING_BYTES = 4096;
 const SMALL_READ_BYTES = 16_384; // of a connection that had to wait for its turn
 
--- a/src/common/createListSchema.ts
+++ b/src/common/createListSchema.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod';
 
 /**
- * Creates the schema of a list whose check ends at its first invalid entry. An array of zod lists all of them, which
- * takes a hundred times the memory of a list that is all wrong.
+ * Creates the schema of a list whose check ends at its first invalid entry. An array of zod reports all of them, which
+ * takes far more memory than the list itself.
  */
 export function createListSchema<Schema extends z.ZodType>(
   entry: Schema,
