Wait for a configuration without requests that the engine fails

Its cause is in the test: until both hosts had the configuration, it sent requests of a route whose path the stand-in of the engine does not know as a stream. The host that had the configuration first got eight answers that are no streams, avoided the engine for them, and refused the first calm request: "servers are too far behind", delayMs 2,691 and patienceMs 2,600 in the log. The wait now sends a key that nobody holds, which is answered 404 before the configuration and 401 with it, and never reaches the engine. All checks are as they were.

--- a/tests/admissionFleet.test.ts
+++ b/tests/admissionFleet.test.ts
@@ -27,8 +27,12 @@
   const [first, second] = fleet.hosts;
   if (first === undefined || second === undefined) throw new Error('two hosts were started');
   await waitUntil('the configuration is in force', async () => {
-    const responses = await Promise.all(fleet.hosts.map((host) => sendToHost(host, '/new/1')));
-    return responses.every(({ status }) => status !== 404);
+    // Without a key, so that the engine runs none of them: it knows no such stream, and would be avoided for its answers.
+    const headers = { authorization: 'Bearer unknown' };
+    const responses = await Promise.all(
+      fleet.hosts.map((host) => sendToHost(host, '/new/1', { headers })),
+    );
+    return responses.every(({ status }) => status === 401);
   });
   const calm = await Promise.all([sendToHost(first, '/plan/1'), sendToHost(second, '/plan/1')]);
   t.same(
