--- a/tests/partialAnswers.test.ts
+++ b/tests/partialAnswers.test.ts
@@ -133,3 +133,13 @@
   host.kill('SIGKILL');
   t.equal((await killed).text, '', 'no part of an answer');
 });
+
+t.test('callers of HTTP/1.0 get no part of an answer that is too long to be held', async (t) => {
+  const { callerPort } = await startHost(t, (socket, id) => {
+    startUnframed(socket, id);
+    socket.end(PART.repeat(15_000));
+  });
+  const { text, end } = await readRawResponse(callerPort, '/chat/1', {}, { httpVersion: '1.0' });
+  t.equal(text, '');
+  t.equal(end, 'reset');
+});
