--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -5,7 +5,7 @@
 import { setTimeout } from 'node:timers';
 
 const settings = JSON.parse(process.argv[2]);
-const { id, address, port, pieces, pieceMs, pieceBytes, framing } = settings;
+const { id, address, port } = settings;
 let failingShare = 0;
 // SIGUSR2 makes the server fail a part of its requests, and stop that, while its health check stays good.
 process.on('SIGUSR2', () => {
@@ -35,6 +35,8 @@
     return;
   }
   const { method, url: target } = incoming;
+  // A service may answer each of its paths in another way.
+  const { pieces, pieceMs, pieceBytes, framing } = { ...settings, ...settings.paths?.[target] };
   const headerLines = incoming.rawHeaders.length / 2;
   const count = incoming.headers['token-count'];
   tell({ event: 'runs', requestId, method, target, bodyBytes, headerLines, count });
@@ -66,4 +68,6 @@
 }
 // All header lines of a request count here, however many there are.
 server.maxHeadersCount = 0;
+// The server states this in Keep-Alive.
+if (settings.idleMs !== undefined) server.keepAliveTimeout = settings.idleMs;
 server.listen(port, address, () => tell({ event: 'listens' }));
