--- a/review/lib-3/platform.mjs
+++ b/review/lib-3/platform.mjs
@@ -12,7 +12,6 @@
 
 export { wait };
 export const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
-export const hasTrouble = process.env.TROUBLE !== '0';
 
 /** Bounds of a small site (dryline-ng), as its page gives them. */
 export const BOUNDS = {
